--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator, scenarios and measurements over the real processes."""
--- /dev/null
+++ b/src/sesametrack/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about a caller's request, from admission to the answer."""
--- /dev/null
+++ b/src/sesametrack/callers/query.py
@@ -0,0 +1,624 @@
+"""Scatter, hedging, retries and gathering of one query."""
+
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+from random import Random
+
+from msgspec import Raw
+
+from sesametrack.callers.attempts import Attempt, ShardProgress
+from sesametrack.callers.budget import ShareBudget
+from sesametrack.callers.coverage import count_coverage
+from sesametrack.callers.events import (
+    CallerLeft,
+    DeliverAnswer,
+    LinkLost,
+    NeverSent,
+    QueryAction,
+    QueryEvent,
+    ReplyArrived,
+    SendCancel,
+    SendSubQuery,
+    Started,
+    TimeReached,
+)
+from sesametrack.callers.latency import LatencyQuantile
+from sesametrack.callers.replicas import Replica, ReplicaTable, SnapshotPlan
+from sesametrack.contracts.answers import Answer, ShardAnswer, Timing
+from sesametrack.contracts.messages import (
+    Cancel,
+    SubQuery,
+    SubQueryKind,
+    SubReply,
+    SubState,
+)
+from sesametrack.contracts.outcomes import Outcome, Reason
+from sesametrack.contracts.requests import QueryRequest
+from sesametrack.contracts.rules import Preference, ServiceRules
+from sesametrack.contracts.types import Instant, Milliseconds, Seconds
+from sesametrack.upstreams.quarantine import Quarantine
+
+_MS: Milliseconds = 1000
+# Time kept back before the deadline to build and send the answer.
+_ANSWER_TIME: Seconds = 0.01
+_MIN_HEDGE_DELAY: Seconds = 0.004
+_FIRST_PAUSE: Seconds = 0.01
+_MAX_PAUSE: Seconds = 0.25
+_MAX_RESTARTS = 4
+_CANARY_REPLICAS = 2
+
+# These refusals say that another replica must do the work and that the
+# refusing one is not overloaded, so that a retry costs no budget.
+_FREE_RETRIES = frozenset(
+    (
+        Reason.draining,
+        Reason.failure_domain_out,
+        Reason.not_owner,
+        Reason.no_gate,
+        Reason.snapshot_gone,
+        Reason.stopping,
+        Reason.unknown_upstream,
+        Reason.no_replica,
+    )
+)
+
+
+@dataclass(slots=True)
+class ServiceState:
+    """What the queries of one service share at one entry."""
+
+    rules: ServiceRules
+    hedge_delay: LatencyQuantile
+    hedges: ShareBudget
+    retries: ShareBudget
+
+
+@dataclass(slots=True)
+class QueryContext:
+    """What all queries share at one entry."""
+
+    table: ReplicaTable
+    quarantine: Quarantine
+    rng: Random
+    is_learned: bool = True
+    sent: int = 0
+    needed: int = 0
+    id_prefix: str = ''
+
+    def next_id(self) -> str:
+        """Return a new sub-query id, unique over processes and restarts."""
+        self.sent += 1
+        return f'{self.id_prefix}-{self.sent:x}'
+
+
+@dataclass(slots=True)
+class _Progress:
+    shards: list[ShardProgress] = field(default_factory=list)
+    attempts_by_id: dict[str, ShardProgress] = field(default_factory=dict)
+
+
+class Query:
+    """Turns one admitted request into sub-queries and one answer.
+
+    `handle` takes events and the time and returns actions; `wake_at` is
+    when TimeReached is next due. Replies of another snapshot than the
+    pinned one are never taken into the answer.
+    """
+
+    def __init__(
+        self,
+        request: QueryRequest,
+        service: ServiceState,
+        context: QueryContext,
+        now: Instant,
+    ) -> None:
+        """Bind the request; nothing is sent before `Started`."""
+        self._request = request
+        self._service = service
+        self._context = context
+        self._started_at = now
+        allowed = service.rules.deadline
+        if request.deadline is not None:
+            allowed = min(allowed, request.deadline)
+        self.deadline = now + allowed
+        self._plan: SnapshotPlan | None = None
+        self._progress = _Progress()
+        # Attempts of snapshots that were given up: they count for the
+        # outcome, and never for the answer.
+        self._abandoned: list[Attempt] = []
+        self._restarts = 0
+        self._is_canary_stage = False
+        self.is_done = False
+
+    def handle(self, event: QueryEvent, now: Instant) -> list[QueryAction]:
+        """Apply an event and return the actions that follow from it."""
+        if self.is_done:
+            return []
+        actions = self._apply(event, now)
+        if not self.is_done:
+            actions.extend(self._finish_if_due(now))
+        return actions
+
+    def wake_at(self, now: Instant) -> Instant:
+        """Return when the query next has something to decide."""
+        times = [self.deadline - _ANSWER_TIME]
+        if self._service.rules.prefers is Preference.latency:
+            target = self._started_at + self._service.rules.target
+            if target > now:
+                times.append(target - _ANSWER_TIME)
+        for shard in self._progress.shards:
+            if shard.retry_at is not None:
+                times.append(shard.retry_at)
+            elif self._may_hedge(shard):
+                sent_at = shard.attempts[-1].sent_at
+                times.append(sent_at + self._hedge_delay(now))
+        return min(times)
+
+    @singledispatchmethod
+    def _apply(self, event: QueryEvent, now: Instant) -> list[QueryAction]:
+        raise NotImplementedError(type(event).__name__)
+
+    @_apply.register
+    def _start(self, event: Started, now: Instant) -> list[QueryAction]:
+        self._plan = self._context.table.plan(self._request.service)
+        if self._plan is None:
+            return self._refuse(Reason.no_replica, now)
+        self._lay_out()
+        fingerprint = self._request.fingerprint
+        if self._context.quarantine.is_convicted(fingerprint, now):
+            return self._refuse(Reason.quarantined, now)
+        if self._context.quarantine.is_suspect(fingerprint, now):
+            return self._start_canary(now)
+        return self._scatter(now)
+
+    @_apply.register
+    def _take_reply(
+        self, event: ReplyArrived, now: Instant
+    ) -> list[QueryAction]:
+        reply = event.reply
+        shard = self._progress.attempts_by_id.get(reply.id)
+        attempt = self._close_attempt(reply.id, reply.state, reply.reason)
+        if shard is None or attempt is None or shard.is_answered:
+            return []
+        if reply.state is SubState.answered:
+            return self._take_answer(shard, attempt, reply, now)
+        return self._recover(shard, attempt, now)
+
+    @_apply.register
+    def _take_unsent(self, event: NeverSent, now: Instant) -> list[QueryAction]:
+        shard = self._progress.attempts_by_id.get(event.id)
+        attempt = self._close_attempt(
+            event.id, SubState.not_run, Reason.no_gate
+        )
+        if shard is None or attempt is None or shard.is_answered:
+            return []
+        return self._recover(shard, attempt, now)
+
+    @_apply.register
+    def _lose_link(self, event: LinkLost, now: Instant) -> list[QueryAction]:
+        actions: list[QueryAction] = []
+        for shard in self._progress.shards:
+            for attempt in shard.pending:
+                if attempt.gate != event.gate:
+                    continue
+                self._close_attempt(
+                    attempt.id, SubState.unknown, Reason.link_lost
+                )
+                if not shard.is_answered:
+                    actions.extend(self._recover(shard, attempt, now))
+        return actions
+
+    @_apply.register
+    def _wake(self, event: TimeReached, now: Instant) -> list[QueryAction]:
+        actions: list[QueryAction] = []
+        if now >= self.deadline - _ANSWER_TIME:
+            return actions
+        for shard in self._progress.shards:
+            if shard.is_answered:
+                continue
+            if shard.retry_at is not None:
+                if now >= shard.retry_at:
+                    actions.extend(self._retry(shard, now))
+            elif self._is_hedge_due(shard, now):
+                actions.extend(self._hedge(shard, now))
+        return actions
+
+    @_apply.register
+    def _leave(self, event: CallerLeft, now: Instant) -> list[QueryAction]:
+        self.is_done = True
+        return self._cancel_pending()
+
+    def _lay_out(self) -> None:
+        hashed_key = self._request.hashed_key
+        shards = [
+            ShardProgress(shard)
+            for shard in self._plan.shards
+            if hashed_key is None or shard.key_range.contains(hashed_key)
+        ]
+        self._progress = _Progress(shards)
+        self._context.needed += len(shards)
+
+    def _scatter(self, now: Instant) -> list[QueryAction]:
+        actions: list[QueryAction] = []
+        self._is_canary_stage = False
+        unsent = [
+            shard
+            for shard in self._progress.shards
+            if not shard.attempts and not shard.is_answered
+        ]
+        self._service.hedges.record_primary(len(unsent))
+        self._service.retries.record_primary(len(unsent))
+        for shard in unsent:
+            actions.extend(self._send(shard, SubQueryKind.primary, now))
+        return actions
+
+    def _start_canary(self, now: Instant) -> list[QueryAction]:
+        # The canary goes to the shard with most usable replicas, and never
+        # to a shard's last one.
+        shard = max(self._progress.shards, key=self._count_usable)
+        if self._count_usable(shard) < _CANARY_REPLICAS:
+            return self._refuse(Reason.quarantined, now)
+        self._is_canary_stage = True
+        return self._send(shard, SubQueryKind.canary, now)
+
+    def _count_usable(self, shard: ShardProgress) -> int:
+        by_id = self._context.table.by_id
+        return sum(
+            1
+            for upstream in shard.plan.replicas
+            if upstream in by_id and by_id[upstream].is_usable
+        )
+
+    def _send(
+        self, shard: ShardProgress, kind: SubQueryKind, now: Instant
+    ) -> list[QueryAction]:
+        replica = self._choose_replica(shard, kind, now)
+        if replica is None:
+            self._plan_retry(shard, Reason.no_replica, now)
+            return []
+        attempt = Attempt(
+            self._context.next_id(),
+            replica.upstream.id,
+            replica.gate.id,
+            kind,
+            now,
+        )
+        shard.attempts.append(attempt)
+        shard.retry_at = None
+        self._progress.attempts_by_id[attempt.id] = shard
+        replica.outstanding += 1
+        sub_query = SubQuery(
+            attempt.id,
+            attempt.upstream,
+            self._plan.snapshot,
+            shard.plan.key_range,
+            self._request.body,
+            (self.deadline - now - _ANSWER_TIME / 2) * _MS,
+            self._request.repeatable,
+            self._request.fingerprint,
+            kind,
+        )
+        return [SendSubQuery(attempt.gate, sub_query)]
+
+    def _choose_replica(
+        self, shard: ShardProgress, kind: SubQueryKind, now: Instant
+    ) -> Replica | None:
+        table = self._context.table
+        replicas = shard.plan.replicas
+        if not self._context.is_learned:
+            usable = [
+                known for known in replicas if table.by_id[known].is_usable
+            ]
+            return table.by_id[usable[0]] if usable else None
+        fresh = [known for known in replicas if known not in shard.tried]
+        replica = table.choose(fresh, self._context.rng, now)
+        if replica is None and kind is not SubQueryKind.hedge:
+            busy = {attempt.upstream for attempt in shard.pending}
+            others = [known for known in replicas if known not in busy]
+            replica = table.choose(others, self._context.rng, now)
+        return replica
+
+    def _close_attempt(
+        self, sub_query_id: str, state: SubState, reason: Reason
+    ) -> Attempt | None:
+        shard = self._progress.attempts_by_id.get(sub_query_id)
+        attempts = self._abandoned if shard is None else shard.attempts
+        for attempt in attempts:
+            if attempt.id == sub_query_id and attempt.is_pending:
+                attempt.state = state
+                attempt.reason = reason
+                self._settle_outstanding(attempt)
+                return attempt
+        return None
+
+    def _settle_outstanding(self, attempt: Attempt) -> None:
+        replica = self._context.table.by_id.get(attempt.upstream)
+        if replica is not None:
+            replica.outstanding = max(0, replica.outstanding - 1)
+
+    def _take_answer(
+        self,
+        shard: ShardProgress,
+        attempt: Attempt,
+        reply: SubReply,
+        now: Instant,
+    ) -> list[QueryAction]:
+        if reply.snapshot != self._plan.snapshot:
+            attempt.reason = Reason.snapshot_gone
+            return self._recover(shard, attempt, now)
+        shard.reply = reply
+        shard.retry_at = None
+        self._service.hedge_delay.record(now - attempt.sent_at, now)
+        self._context.quarantine.record_success(self._request.fingerprint)
+        actions: list[QueryAction] = []
+        for loser in shard.pending:
+            actions.append(_cancel(loser))
+        if self._is_canary_stage:
+            actions.extend(self._scatter(now))
+        return actions
+
+    def _recover(
+        self, shard: ShardProgress, attempt: Attempt, now: Instant
+    ) -> list[QueryAction]:
+        if attempt.kind is SubQueryKind.hedge and shard.pending:
+            return []
+        shard.reason = attempt.reason
+        if attempt.reason is Reason.snapshot_gone:
+            return self._replace_snapshot(shard, attempt, now)
+        if attempt.reason is Reason.quarantined:
+            return []
+        if attempt.may_have_run and not self._request.repeatable:
+            return []
+        if shard.pending:
+            return []
+        if self._is_canary_stage:
+            return []
+        if self._is_last_replica_of_suspect(shard, attempt, now):
+            shard.reason = Reason.quarantined
+            return []
+        if attempt.reason in _FREE_RETRIES:
+            if set(shard.plan.replicas) <= shard.tried:
+                self._plan_retry(shard, attempt.reason, now)
+                return []
+            return self._send(shard, SubQueryKind.retry, now)
+        return self._retry_on_budget(shard, attempt, now)
+
+    def _is_last_replica_of_suspect(
+        self, shard: ShardProgress, attempt: Attempt, now: Instant
+    ) -> bool:
+        if attempt.reason is not Reason.connection_lost:
+            return False
+        fingerprint = self._request.fingerprint
+        if not self._context.quarantine.is_suspect(fingerprint, now):
+            return False
+        others = [
+            upstream
+            for upstream in shard.plan.replicas
+            if upstream != attempt.upstream
+            and self._context.table.by_id[upstream].is_usable
+        ]
+        return len(others) < _CANARY_REPLICAS
+
+    def _retry_on_budget(
+        self, shard: ShardProgress, attempt: Attempt, now: Instant
+    ) -> list[QueryAction]:
+        is_overload = attempt.reason in {Reason.overload, Reason.queue_full}
+        if (
+            is_overload
+            and self._context.table.choose(
+                [
+                    known
+                    for known in shard.plan.replicas
+                    if known not in shard.tried
+                ],
+                self._context.rng,
+                now,
+            )
+            is None
+        ):
+            self._plan_retry(shard, attempt.reason, now)
+            return []
+        if not self._service.retries.take():
+            self._plan_retry(shard, attempt.reason, now)
+            return []
+        return self._send(shard, SubQueryKind.retry, now)
+
+    def _plan_retry(
+        self, shard: ShardProgress, reason: Reason, now: Instant
+    ) -> None:
+        """Plan a later retry while the deadline leaves time for it."""
+        shard.reason = reason
+        pause = min(_MAX_PAUSE, _FIRST_PAUSE * 2**shard.failures)
+        shard.failures += 1
+        shard.retry_at = None
+        if now + pause < self.deadline - _ANSWER_TIME:
+            shard.retry_at = now + pause
+
+    def _retry(self, shard: ShardProgress, now: Instant) -> list[QueryAction]:
+        # The plan may name replicas that came back in the meantime.
+        plan = self._context.table.plan(self._request.service)
+        if plan is not None and plan.snapshot == self._plan.snapshot:
+            for fresh in plan.shards:
+                if fresh.key_range == shard.plan.key_range:
+                    shard.plan = fresh
+        is_free = shard.reason in _FREE_RETRIES or not shard.attempts
+        if not is_free and not self._service.retries.take():
+            self._plan_retry(shard, shard.reason, now)
+            return []
+        shard.retry_at = None
+        return self._send(shard, SubQueryKind.retry, now)
+
+    def _replace_snapshot(
+        self, shard: ShardProgress, attempt: Attempt, now: Instant
+    ) -> list[QueryAction]:
+        table = self._context.table
+        table.drop_holding(attempt.upstream, self._plan.snapshot)
+        others = [
+            known for known in shard.plan.replicas if known not in shard.tried
+        ]
+        if table.choose(others, self._context.rng, now) is not None:
+            return self._send(shard, SubQueryKind.retry, now)
+        if shard.pending:
+            return []
+        return self._restart(shard, now)
+
+    def _restart(self, shard: ShardProgress, now: Instant) -> list[QueryAction]:
+        plan = self._context.table.plan(self._request.service)
+        is_newer = plan is not None and plan.snapshot != self._plan.snapshot
+        if not is_newer or self._restarts >= _MAX_RESTARTS:
+            self._plan_retry(shard, Reason.snapshot_gone, now)
+            return []
+        if self._has_run_non_repeatable():
+            return []
+        self._restarts += 1
+        actions = self._cancel_pending()
+        for given_up in self._progress.shards:
+            self._abandoned.extend(given_up.attempts)
+        self._plan = plan
+        self._lay_out()
+        return actions + self._scatter(now)
+
+    def _has_run_non_repeatable(self) -> bool:
+        if self._request.repeatable:
+            return False
+        return any(attempt.may_have_run for attempt in self._all_attempts())
+
+    def _may_hedge(self, shard: ShardProgress) -> bool:
+        return (
+            self._context.is_learned
+            and self._request.repeatable
+            and not self._is_canary_stage
+            and not shard.is_answered
+            and not shard.has_hedged
+            and len(shard.plan.replicas) > 1
+            and len(shard.pending) == 1
+        )
+
+    def _hedge_delay(self, now: Instant) -> Seconds:
+        return max(_MIN_HEDGE_DELAY, self._service.hedge_delay.current(now))
+
+    def _is_hedge_due(self, shard: ShardProgress, now: Instant) -> bool:
+        if not self._may_hedge(shard):
+            return False
+        return now >= shard.attempts[-1].sent_at + self._hedge_delay(now)
+
+    def _hedge(self, shard: ShardProgress, now: Instant) -> list[QueryAction]:
+        shard.has_hedged = True
+        fresh = [
+            known for known in shard.plan.replicas if known not in shard.tried
+        ]
+        by_id = self._context.table.by_id
+        has_idle = any(
+            known in by_id and by_id[known].idle_slots > 0 for known in fresh
+        )
+        if not has_idle or not self._service.hedges.take():
+            return []
+        return self._send(shard, SubQueryKind.hedge, now)
+
+    def _finish_if_due(self, now: Instant) -> list[QueryAction]:
+        shards = self._progress.shards
+        if all(shard.is_answered for shard in shards):
+            return self._deliver(now)
+        if self._is_canary_stage:
+            canary = next(shard for shard in shards if shard.attempts)
+            if canary.is_stuck:
+                return self._refuse(canary.missing_reason(), now)
+        elif all(shard.is_answered or shard.is_stuck for shard in shards):
+            return self._deliver(now)
+        if now >= self.deadline - _ANSWER_TIME:
+            return self._deliver(now)
+        if self._is_enough_at_target(now):
+            return self._deliver(now)
+        return []
+
+    def _is_enough_at_target(self, now: Instant) -> bool:
+        rules = self._service.rules
+        if rules.prefers is not Preference.latency:
+            return False
+        if now < self._started_at + rules.target - _ANSWER_TIME:
+            return False
+        answered = sum(
+            shard.plan.key_range.width
+            for shard in self._progress.shards
+            if shard.is_answered
+        )
+        asked = sum(
+            shard.plan.key_range.width for shard in self._progress.shards
+        )
+        return answered > 0 and answered >= rules.least_coverage * asked
+
+    def _cancel_pending(self) -> list[QueryAction]:
+        return [
+            _cancel(attempt)
+            for shard in self._progress.shards
+            for attempt in shard.pending
+        ]
+
+    def _all_attempts(self) -> list[Attempt]:
+        attempts = list(self._abandoned)
+        for shard in self._progress.shards:
+            attempts.extend(shard.attempts)
+        return attempts
+
+    def _refuse(self, reason: Reason, now: Instant) -> list[QueryAction]:
+        for shard in self._progress.shards:
+            if not shard.is_answered:
+                shard.reason = reason
+        return self._deliver(now, reason)
+
+    def _deliver(
+        self, now: Instant, reason: Reason = Reason.none
+    ) -> list[QueryAction]:
+        actions = self._cancel_pending()
+        self.is_done = True
+        for attempt in self._all_attempts():
+            if attempt.is_pending:
+                self._settle_outstanding(attempt)
+        actions.append(DeliverAnswer(self._build_answer(now, reason)))
+        return actions
+
+    def _build_answer(self, now: Instant, reason: Reason) -> Answer:
+        answered = [
+            shard for shard in self._progress.shards if shard.is_answered
+        ]
+        missing = [
+            (shard.plan.key_range, shard.missing_reason())
+            for shard in self._progress.shards
+            if not shard.is_answered
+        ]
+        coverage = count_coverage(
+            [shard.plan.key_range for shard in answered], missing
+        )
+        is_enough = coverage.share >= self._service.rules.least_coverage
+        if answered and is_enough:
+            outcome = Outcome.ran
+        else:
+            may_have_run = any(
+                attempt.may_have_run for attempt in self._all_attempts()
+            )
+            outcome = Outcome.unknown if may_have_run else Outcome.not_run
+        if outcome is not Outcome.ran and reason is Reason.none and missing:
+            reason = missing[0][1]
+        replies = [shard.reply for shard in answered]
+        return Answer(
+            self._request.request_id,
+            outcome,
+            self._plan.snapshot if self._plan else None,
+            coverage,
+            [
+                ShardAnswer(shard.plan.key_range, Raw(shard.reply.body))
+                for shard in answered
+            ]
+            if outcome is Outcome.ran
+            else [],
+            Timing(
+                (now - self._started_at) * _MS,
+                max((reply.queue_ms for reply in replies), default=0),
+                max((reply.run_ms for reply in replies), default=0),
+            ),
+            reason,
+        )
+
+
+def _cancel(attempt: Attempt) -> SendCancel:
+    return SendCancel(attempt.gate, Cancel(attempt.id, attempt.upstream))
--- /dev/null
+++ b/src/sesametrack/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once claims for requests that may not be repeated."""
--- /dev/null
+++ b/src/sesametrack/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The replica of the accepted configuration and how it spreads."""
--- /dev/null
+++ b/src/sesametrack/contracts/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages, settings, inventory, rules, answers and errors."""
--- /dev/null
+++ b/src/sesametrack/contracts/outcomes.py
@@ -0,0 +1,35 @@
+"""Outcomes of requests, sub-queries and the reasons for them."""
+
+from enum import Enum
+
+
+class Outcome(Enum):
+    """What a caller is told about its request."""
+
+    ran = 'ran'
+    not_run = 'not-run'
+    unknown = 'unknown'
+
+
+class Reason(Enum):
+    """Why a sub-query was not answered or a shard is missing."""
+
+    none = ''
+    no_replica = 'no_replica'
+    deadline = 'deadline'
+    queue_full = 'queue_full'
+    shed = 'shed'
+    draining = 'draining'
+    failure_domain_out = 'failure_domain_out'
+    snapshot_gone = 'snapshot_gone'
+    connection_lost = 'connection_lost'
+    link_lost = 'link_lost'
+    no_gate = 'no_gate'
+    not_owner = 'not_owner'
+    no_idle_slot = 'no_idle_slot'
+    cancelled = 'cancelled'
+    quarantined = 'quarantined'
+    upstream_error = 'upstream_error'
+    overload = 'overload'
+    unknown_upstream = 'unknown_upstream'
+    stopping = 'stopping'
--- /dev/null
+++ b/src/sesametrack/contracts/settings.py
@@ -0,0 +1,134 @@
+"""The settings file that both daemons of a VM read."""
+
+from ipaddress import ip_address
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from sesametrack.contracts.decoding import decode_json
+from sesametrack.contracts.exceptions import SettingsError
+from sesametrack.contracts.types import Address
+
+_Port = Annotated[int, Meta(ge=1, le=65535)]
+_Name = Annotated[str, Meta(pattern='^[a-z0-9][a-z0-9._-]{0,63}$')]
+_Bytes = Annotated[int, Meta(ge=1, le=64 * 1024 * 1024)]
+_Count = Annotated[int, Meta(ge=1, le=100_000)]
+_Seconds = Annotated[float, Meta(gt=0, le=3600)]
+
+
+class DaemonPorts(Struct, forbid_unknown_fields=True, frozen=True):
+    """Ports of one daemon: peer frames (TCP), gossip (UDP), admin (HTTP)."""
+
+    peer: _Port
+    gossip: _Port
+    admin: _Port
+
+
+class CallerLimits(Struct, forbid_unknown_fields=True, frozen=True):
+    """Limits on what callers may send; times in seconds."""
+
+    max_body_bytes: _Bytes = 256 * 1024
+    max_header_bytes: _Bytes = 16 * 1024
+    max_connections: _Count = 2000
+    max_requests: _Count = 512
+    read_timeout_s: _Seconds = 10
+    idle_timeout_s: _Seconds = 60
+
+
+class EntrySettings(Struct, forbid_unknown_fields=True, frozen=True):
+    """Settings of the entry daemon."""
+
+    caller_port: _Port = 8080
+    ports: DaemonPorts = DaemonPorts(7300, 7301, 7302)
+    limits: CallerLimits = CallerLimits()
+
+
+class GateSettings(Struct, forbid_unknown_fields=True, frozen=True):
+    """Settings of the gate daemon."""
+
+    ports: DaemonPorts = DaemonPorts(7310, 7311, 7312)
+
+
+class Settings(Struct, forbid_unknown_fields=True, frozen=True):
+    """Settings of one VM; times in seconds, addresses as 'IP:port'.
+
+    `unready_delay_s` is how long the balancer needs to stop sending new
+    connections to a VM that reports itself unready, `stop_timeout_s` bounds
+    the whole graceful shutdown.
+    """
+
+    vm: _Name
+    failure_domain: _Name
+    address: str
+    platform: list[str]
+    seeds: list[str] = []
+    entry: EntrySettings = EntrySettings()
+    gate: GateSettings = GateSettings()
+    statsd: str | None = None
+    log_format: str = 'plain'
+    unready_delay_s: Annotated[float, Meta(ge=0, le=600)] = 2
+    stop_timeout_s: _Seconds = 20
+    policy: str = 'full'
+
+
+_LOG_FORMATS = frozenset(('plain', 'json'))
+_POLICIES = frozenset(('full', 'baseline'))
+
+
+def read_settings(text: bytes | str, source: str) -> Settings:
+    """Decode and check a settings file; raises SettingsError."""
+    settings = decode_json(text, Settings, source, SettingsError)
+    _check_ip(settings.address, '$.address', source)
+    for name in ('platform', 'seeds'):
+        for index, address in enumerate(getattr(settings, name)):
+            _check_address(address, f'$.{name}[{index}]', source)
+    if not settings.platform:
+        raise SettingsError(source, '$.platform', 'names no address', [])
+    if settings.statsd is not None:
+        _check_address(settings.statsd, '$.statsd', source)
+    _check_choice(settings.log_format, _LOG_FORMATS, '$.log_format', source)
+    _check_choice(settings.policy, _POLICIES, '$.policy', source)
+    _check_ports(settings, source)
+    return settings
+
+
+def split_address(address: Address) -> tuple[str, int]:
+    """Split 'IP:port' into its two parts."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+def _check_choice(
+    found: str, choices: frozenset[str], path: str, source: str
+) -> None:
+    if found not in choices:
+        problem = f'is none of {", ".join(sorted(choices))}'
+        raise SettingsError(source, path, problem, found)
+
+
+def _check_ip(text: str, path: str, source: str) -> None:
+    try:
+        ip_address(text)
+    except ValueError:
+        raise SettingsError(source, path, 'is not an IP number', text) from None
+
+
+def _check_address(address: str, path: str, source: str) -> None:
+    host, _, port = address.rpartition(':')
+    _check_ip(host, path, source)
+    if not port.isdigit():
+        raise SettingsError(source, path, 'needs a port', address)
+
+
+def _check_ports(settings: Settings, source: str) -> None:
+    path_by_port = {settings.entry.caller_port: '$.entry.caller_port'}
+    daemons = {'entry': settings.entry.ports, 'gate': settings.gate.ports}
+    for daemon, ports in daemons.items():
+        for name in ('peer', 'gossip', 'admin'):
+            port = getattr(ports, name)
+            path = f'$.{daemon}.ports.{name}'
+            if port in path_by_port:
+                raise SettingsError(
+                    source, path, f'equals {path_by_port[port]}', port
+                )
+            path_by_port[port] = path
--- /dev/null
+++ b/src/sesametrack/failure_domains/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of gates and state of failure domains."""
--- /dev/null
+++ b/src/sesametrack/links/__init__.py
@@ -0,0 +1,1 @@
+"""All input and output of the daemons."""
--- /dev/null
+++ b/src/sesametrack/links/http_client.py
@@ -0,0 +1,122 @@
+"""HTTP/1.1 client connection over h11."""
+
+from asyncio import (
+    StreamReader,
+    StreamWriter,
+    open_connection,
+    wait_for,
+)
+
+from h11 import (
+    CLIENT,
+    DONE,
+    IDLE,
+    NEED_DATA,
+    Connection,
+    ConnectionClosed,
+    Data,
+    EndOfMessage,
+    LocalProtocolError,
+    RemoteProtocolError,
+    Request,
+    Response,
+)
+
+from sesametrack.contracts.exceptions import ProtocolError
+from sesametrack.contracts.settings import split_address
+from sesametrack.contracts.types import Address, Seconds
+from sesametrack.links.http import HttpRequest, HttpResponse, lower_headers
+
+_READ_SIZE = 65536
+
+
+class HttpConnection:
+    """One connection to a server, used for one request at a time."""
+
+    def __init__(self, address: Address) -> None:
+        """Name the server as 'IP:port'; `start` connects."""
+        self._address = address
+        self._host, self._port = split_address(address)
+        self._reader: StreamReader | None = None
+        self._writer: StreamWriter | None = None
+        self._protocol = Connection(CLIENT)
+
+    async def start(self, timeout: Seconds) -> None:
+        """Connect; raises OSError or TimeoutError."""
+        self._reader, self._writer = await wait_for(
+            open_connection(self._host, self._port), timeout
+        )
+
+    async def close(self) -> None:
+        """Close the socket without waiting for the peer."""
+        self.abort()
+
+    def abort(self) -> None:
+        """Close the socket at once."""
+        if self._writer is not None:
+            self._writer.transport.abort()
+
+    @property
+    def is_reusable(self) -> bool:
+        """Tell whether another request may follow."""
+        return self._protocol.our_state is IDLE
+
+    def write(self, request: HttpRequest) -> None:
+        """Hand a request to the socket."""
+        headers = [
+            ('host', self._address),
+            ('content-length', str(len(request.body))),
+            *request.headers.items(),
+        ]
+        head = Request(
+            method=request.method, target=request.path, headers=headers
+        )
+        chunks = [self._protocol.send(head)]
+        if request.body:
+            chunks.append(self._protocol.send(Data(data=request.body)))
+        chunks.append(self._protocol.send(EndOfMessage()))
+        self._writer.write(b''.join(chunks))
+
+    async def read(self) -> HttpResponse:
+        """Read the next response; raises OSError, EOFError, ProtocolError.
+
+        May be awaited before a request is written, and then also notices
+        that the server closes an idle connection.
+        """
+        head: Response | None = None
+        body = bytearray()
+        while True:
+            event = await self._next_event()
+            if isinstance(event, Response):
+                head = event
+            elif isinstance(event, Data):
+                body.extend(event.data)
+            elif isinstance(event, EndOfMessage):
+                self._prepare_next()
+                return HttpResponse(
+                    head.status_code, bytes(body), lower_headers(head.headers)
+                )
+            elif isinstance(event, ConnectionClosed):
+                raise EOFError(f'{self._address} closed the connection')
+
+    async def exchange(
+        self, request: HttpRequest, timeout: Seconds
+    ) -> HttpResponse:
+        """Send a request and read its response within a time."""
+        self.write(request)
+        return await wait_for(self.read(), timeout)
+
+    def _prepare_next(self) -> None:
+        states = {self._protocol.our_state, self._protocol.their_state}
+        if states == {DONE}:
+            self._protocol.start_next_cycle()
+
+    async def _next_event(self) -> object:
+        while True:
+            try:
+                event = self._protocol.next_event()
+            except (RemoteProtocolError, LocalProtocolError) as broken:
+                raise ProtocolError(f'{self._address}: {broken}') from broken
+            if event is not NEED_DATA:
+                return event
+            self._protocol.receive_data(await self._reader.read(_READ_SIZE))
--- /dev/null
+++ b/src/sesametrack/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line programs."""
--- /dev/null
+++ b/src/sesametrack/programs/entry.py
@@ -0,0 +1,422 @@
+"""The entry daemon: takes callers' requests and gathers answers."""
+
+from asyncio import (
+    CancelledError,
+    Future,
+    Task,
+    TimerHandle,
+    create_task,
+    get_running_loop,
+    shield,
+    sleep,
+)
+from functools import singledispatchmethod
+from secrets import token_hex
+from time import monotonic
+
+from msgspec.json import encode
+
+from sesametrack.callers.admission import Admission
+from sesametrack.callers.budget import ShareBudget
+from sesametrack.callers.events import (
+    CallerLeft,
+    DeliverAnswer,
+    LinkLost,
+    NeverSent,
+    QueryAction,
+    QueryEvent,
+    ReplyArrived,
+    SendCancel,
+    SendSubQuery,
+    Started,
+    TimeReached,
+)
+from sesametrack.callers.latency import LatencyQuantile
+from sesametrack.callers.query import Query, QueryContext, ServiceState
+from sesametrack.callers.replicas import ReplicaTable
+from sesametrack.configuration.parts import Configuration
+from sesametrack.contracts.answers import Answer
+from sesametrack.contracts.exceptions import RefusalError, RequestError
+from sesametrack.contracts.members import Notice, Role
+from sesametrack.contracts.messages import (
+    PeerMessage,
+    SubQuery,
+    SubReply,
+    Suspicion,
+    ViewReport,
+)
+from sesametrack.contracts.outcomes import Outcome, Reason
+from sesametrack.contracts.requests import QueryRequest
+from sesametrack.contracts.rules import ServiceRules
+from sesametrack.contracts.settings import Settings
+from sesametrack.contracts.types import (
+    MemberId,
+    Seconds,
+    ServiceId,
+    SubQueryId,
+)
+from sesametrack.failure_domains.placement import Placement
+from sesametrack.links.http_server import HttpServer
+from sesametrack.links.peers import PeerHub
+from sesametrack.programs.callers import CallerEndpoint
+from sesametrack.programs.claimant import Claimant
+from sesametrack.programs.launch import run_daemon
+from sesametrack.programs.node import Node, NodeHandlers
+from sesametrack.upstreams.quarantine import Quarantine
+
+_HEDGE_PERCENTILE = 95
+_FIRST_HEDGE_DELAY: Seconds = 0.05
+_RETRY_AFTER: Seconds = 1
+_NOTICE_INTERVAL: Seconds = 1
+_MAX_NOTICES = 8
+_MS = 1000
+
+
+class Entry:
+    """Runs queries over the links to the gates."""
+
+    def __init__(self, settings: Settings) -> None:
+        """Bind the settings; `start` opens the sockets."""
+        self._is_learned = settings.policy == 'full'
+        self._node = Node(settings, Role.entry, settings.entry.ports)
+        self._hub = PeerHub(
+            self._node.me, self._take, self._link_changed, self._take_unsent
+        )
+        self._server = HttpServer(
+            settings.address,
+            settings.entry.caller_port,
+            CallerEndpoint(self._node, self._answer).handle,
+            settings.entry.limits,
+        )
+        self._claimant = Claimant(self._node.platform)
+        self._admission = Admission(
+            settings.entry.limits.max_requests, is_learned=self._is_learned
+        )
+        self._context = QueryContext(
+            ReplicaTable(),
+            Quarantine(),
+            self._node.rng,
+            self._is_learned,
+            id_prefix=f'{settings.vm}-{token_hex(6)}',
+        )
+        self._state_by_service: dict[ServiceId, ServiceState] = {}
+        self._configuration: Configuration | None = None
+        self._placement: Placement | None = None
+        self._runner_by_sub_query: dict[SubQueryId, QueryRunner] = {}
+        self._runners: set[QueryRunner] = set()
+        self._tasks: list[Task] = []
+
+    async def start(self) -> None:
+        """Open the sockets and serve."""
+        await self._hub.start()
+        await self._node.start(
+            NodeHandlers(
+                self._place,
+                self._configure,
+                lambda leaving: None,
+                self._take_notices,
+                self._describe,
+            )
+        )
+        await self._server.start()
+        self._tasks = [create_task(self._run_notices())]
+        self._node.install_signals()
+
+    async def serve(self) -> None:
+        """Serve until a graceful shutdown has finished."""
+        await self._node.wait_stop(self._count_in_flight)
+
+    async def close(self) -> None:
+        """Close all links."""
+        for task in self._tasks:
+            task.cancel()
+        await self._server.close()
+        await self._claimant.close()
+        await self._hub.close()
+        await self._node.close()
+
+    def _count_in_flight(self) -> int:
+        # Asked first when the unready delay is over: only then does the
+        # balancer send nothing new.
+        self._server.stop_listening()
+        return self._server.busy
+
+    async def _answer(self, request: QueryRequest) -> Answer:
+        rules = self._check(request)
+        now = monotonic()
+        allowed = rules.deadline
+        if request.deadline is not None:
+            allowed = min(allowed, request.deadline)
+        expected = self._context.table.expected_time(
+            request.service, request.hashed_key, now
+        )
+        reason = self._admission.admit(
+            request.service, rules.weight, expected, allowed
+        )
+        self._node.metrics.count('entry.queries')
+        if reason is not Reason.none:
+            self._node.metrics.count('entry.refused')
+            raise RefusalError(Outcome.not_run, reason.value, _RETRY_AFTER)
+        answer: Answer | None = None
+        try:
+            answer = await self._run(request)
+        finally:
+            self._admission.release(request.service, answer, monotonic())
+        return answer
+
+    def _check(self, request: QueryRequest) -> ServiceRules:
+        if self._configuration is None:
+            raise RefusalError(
+                Outcome.not_run, 'no configuration yet', _RETRY_AFTER
+            )
+        table = self._context.table
+        if not table.has_service(request.service):
+            raise RequestError(
+                'request', '$.service', 'is not known', request.service
+            )
+        needs_key = not request.repeatable and request.hashed_key is None
+        if needs_key and table.is_sharded(request.service):
+            raise RequestError(
+                'request',
+                '$.key',
+                'is needed for a request that may not be repeated',
+                None,
+            )
+        return self._configuration.rules.for_service(request.service)
+
+    async def _run(self, request: QueryRequest) -> Answer:
+        if request.repeatable:
+            return await self._run_query(request)
+        # The caller's going away must not leave a claim without an outcome.
+        return await shield(create_task(self._run_once(request)))
+
+    async def _run_once(self, request: QueryRequest) -> Answer:
+        if self._context.table.plan(request.service) is None:
+            raise RefusalError(
+                Outcome.not_run, Reason.no_replica.value, _RETRY_AFTER
+            )
+        held = await self._claimant.claim(request)
+        answer = await self._run_query(request)
+        await self._claimant.record(
+            request, held, answer.outcome, encode(answer)
+        )
+        return answer
+
+    async def _run_query(self, request: QueryRequest) -> Answer:
+        service = self._state_by_service[request.service]
+        query = Query(request, service, self._context, monotonic())
+        runner = QueryRunner(query, self)
+        self._runners.add(runner)
+        events = self._node.events
+        events.record('query', 'started', request.request_id)
+        try:
+            answer = await runner.run()
+        finally:
+            self._runners.discard(runner)
+            for sub_query in runner.sub_queries:
+                self._runner_by_sub_query.pop(sub_query, None)
+        events.record(
+            'query',
+            'answered',
+            request.request_id,
+            outcome=answer.outcome.value,
+            share=answer.coverage.share,
+            total_ms=answer.timing.total_ms,
+        )
+        self._node.metrics.count(f'entry.answers.{answer.outcome.name}')
+        self._node.metrics.time('entry.latency_ms', answer.timing.total_ms)
+        return answer
+
+    def send(
+        self, runner: 'QueryRunner', gate: MemberId, sub_query: SubQuery
+    ) -> None:
+        """Send a sub-query for a runner."""
+        self._runner_by_sub_query[sub_query.id] = runner
+        self._node.metrics.count(f'entry.sub_queries.{sub_query.kind.name}')
+        self._hub.send(gate, sub_query)
+
+    def cancel(self, action: SendCancel) -> None:
+        """Send a cancellation."""
+        self._hub.send(action.gate, action.cancel)
+
+    def _take(self, sender: MemberId, message: PeerMessage) -> None:
+        if isinstance(message, SubReply):
+            self._take_reply(sender, message)
+        elif isinstance(message, ViewReport):
+            now = monotonic()
+            for view in message.views:
+                self._context.table.update_view(view, sender, now)
+        elif isinstance(message, Suspicion):
+            self._take_suspicion(message)
+
+    def _take_reply(self, sender: MemberId, reply: SubReply) -> None:
+        if reply.view is not None:
+            self._context.table.update_view(reply.view, sender, monotonic())
+        runner = self._runner_by_sub_query.get(reply.id)
+        if runner is None:
+            self._node.metrics.count('entry.late_replies')
+            return
+        runner.step(ReplyArrived(reply))
+
+    def _take_suspicion(self, message: Suspicion) -> None:
+        quarantine = self._context.quarantine
+        is_conviction = quarantine.record_death(
+            message.fingerprint,
+            message.upstream,
+            message.in_flight,
+            monotonic(),
+        )
+        if is_conviction:
+            self._node.events.record(
+                'quarantine', 'convicted', fingerprint=message.fingerprint
+            )
+            self._tell_notices(is_urgent=True)
+
+    def _take_unsent(self, peer: MemberId, messages: list[PeerMessage]) -> None:
+        for message in messages:
+            if isinstance(message, SubQuery):
+                runner = self._runner_by_sub_query.get(message.id)
+                if runner is not None:
+                    runner.step(NeverSent(message.id))
+
+    def _link_changed(self, peer: MemberId) -> None:
+        self._place_replicas()
+        if not self._hub.is_up(peer):
+            self._node.events.record('link', 'lost', peer=peer)
+            for runner in list(self._runners):
+                runner.step(LinkLost(peer))
+
+    def _configure(self, configuration: Configuration) -> None:
+        self._configuration = configuration
+        rules = configuration.rules
+        self._context.table.configure(configuration.inventory, rules)
+        for service in configuration.inventory.service_by_id:
+            service_rules = rules.for_service(service)
+            state = self._state_by_service.get(service)
+            if state is None or state.rules != service_rules:
+                self._state_by_service[service] = _make_state(service_rules)
+        self._place()
+
+    def _place(self) -> None:
+        if self._configuration is None:
+            return
+        members = self._node.members()
+        known = self._node.membership.states()
+        for member in members:
+            if member.role is Role.gate:
+                self._hub.connect(member.id, member.peer)
+        for peer in self._hub.peers():
+            if peer not in known:
+                self._hub.disconnect(peer)
+        self._placement = Placement(self._configuration.inventory, members)
+        self._place_replicas()
+
+    def _place_replicas(self) -> None:
+        if self._placement is not None:
+            self._context.table.place(self._placement, self._hub.linked())
+
+    def _take_notices(self, notices: list[Notice]) -> None:
+        now = monotonic()
+        quarantine = self._context.quarantine
+        is_news = [quarantine.take_notice(seen, now) for seen in notices]
+        if any(is_news):
+            self._tell_notices(is_urgent=True)
+
+    def _tell_notices(self, *, is_urgent: bool) -> None:
+        notices = self._context.quarantine.notices(monotonic(), _MAX_NOTICES)
+        self._node.tell_notices(notices, is_urgent=is_urgent)
+
+    async def _run_notices(self) -> None:
+        while True:
+            self._tell_notices(is_urgent=False)
+            await sleep(_NOTICE_INTERVAL)
+
+    def _describe(self) -> object:
+        return {
+            'admission': self._admission.describe(),
+            'links': self._hub.linked(),
+            'sub_queries_sent': self._context.sent,
+            'sub_queries_needed': self._context.needed,
+            'replicas': {
+                replica.upstream.id: {
+                    'usable': replica.is_usable,
+                    'gate': replica.gate.id if replica.gate else None,
+                    'wait_ms': replica.wait_ms(monotonic()),
+                    'service_ms': replica.service_ms,
+                }
+                for replica in self._context.table.by_id.values()
+            },
+        }
+
+
+class QueryRunner:
+    """Drives one query: its timer, its sub-queries and its answer."""
+
+    def __init__(self, query: Query, entry: Entry) -> None:
+        """Bind the query; `run` starts it."""
+        self.sub_queries: list[SubQueryId] = []
+        self._query = query
+        self._entry = entry
+        self._loop = get_running_loop()
+        self._answer: Future[Answer] = self._loop.create_future()
+        self._timer: TimerHandle | None = None
+
+    async def run(self) -> Answer:
+        """Return the answer; cancels everything if the caller leaves."""
+        self.step(Started())
+        try:
+            return await self._answer
+        except CancelledError:
+            self.step(CallerLeft())
+            raise
+        finally:
+            self._stop_timer()
+
+    def step(self, event: QueryEvent) -> None:
+        """Drive the query with an event."""
+        now = monotonic()
+        for action in self._query.handle(event, now):
+            self._act(action)
+        self._stop_timer()
+        if not self._query.is_done:
+            pause = max(0, self._query.wake_at(now) - now)
+            self._timer = self._loop.call_later(pause, self._wake)
+
+    def _wake(self) -> None:
+        self.step(TimeReached())
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+
+    @singledispatchmethod
+    def _act(self, action: QueryAction) -> None:
+        raise NotImplementedError(type(action).__name__)
+
+    @_act.register
+    def _send(self, action: SendSubQuery) -> None:
+        self.sub_queries.append(action.sub_query.id)
+        self._entry.send(self, action.gate, action.sub_query)
+
+    @_act.register
+    def _cancel(self, action: SendCancel) -> None:
+        self._entry.cancel(action)
+
+    @_act.register
+    def _deliver(self, action: DeliverAnswer) -> None:
+        if not self._answer.done():
+            self._answer.set_result(action.answer)
+
+
+def _make_state(rules: ServiceRules) -> ServiceState:
+    return ServiceState(
+        rules,
+        LatencyQuantile(_HEDGE_PERCENTILE, _FIRST_HEDGE_DELAY),
+        ShareBudget(rules.hedge_budget),
+        ShareBudget(rules.retry_budget),
+    )
+
+
+def run() -> None:
+    """Run the program."""
+    run_daemon(Entry)
--- /dev/null
+++ b/src/sesametrack/programs/gate.py
@@ -0,0 +1,343 @@
+"""The gate daemon: the one process that talks to its upstreams."""
+
+from asyncio import Task, create_task, sleep
+from dataclasses import dataclass
+from logging import getLogger
+from time import monotonic
+
+from sesametrack.configuration.parts import Configuration
+from sesametrack.contracts.inventory import Inventory, Upstream
+from sesametrack.contracts.members import Member, Notice, Role
+from sesametrack.contracts.messages import (
+    Cancel,
+    Handover,
+    HandoverRequest,
+    PeerMessage,
+    SubQuery,
+    SubReply,
+    SubState,
+    Suspicion,
+    ViewReport,
+)
+from sesametrack.contracts.outcomes import Reason
+from sesametrack.contracts.settings import Settings
+from sesametrack.contracts.types import (
+    Instant,
+    MemberId,
+    Seconds,
+    UpstreamId,
+)
+from sesametrack.failure_domains.placement import Placement
+from sesametrack.links.peers import PeerHub
+from sesametrack.programs.keeper import UpstreamKeeper
+from sesametrack.programs.launch import run_daemon
+from sesametrack.programs.node import Node, NodeHandlers
+from sesametrack.upstreams.events import (
+    Cancelled,
+    DomainChanged,
+    HandoverReceived,
+    Offered,
+    PlatformReported,
+    Stopping,
+)
+from sesametrack.upstreams.quarantine import Quarantine
+
+_TICK: Seconds = 0.02
+_LOAD_INTERVAL: Seconds = 0.25
+_NOTICE_INTERVAL: Seconds = 1
+_HANDOVER_TIME: Seconds = 1
+# A gate that lost an upstream serves it for this long unless the new gate
+# asks for it before.
+_KEEP_AFTER_LOSS: Seconds = 1.5
+_MAX_NOTICES = 8
+_MS = 1000
+_log = getLogger('gate')
+
+
+@dataclass(slots=True)
+class _Lost:
+    """An upstream that another gate owns now."""
+
+    since: Instant
+
+
+class Gate:
+    """Owns keepers for the upstreams that placement gives to it."""
+
+    def __init__(self, settings: Settings) -> None:
+        """Bind the settings; `start` opens the sockets."""
+        self._settings = settings
+        self._is_learned = settings.policy == 'full'
+        self._node = Node(settings, Role.gate, settings.gate.ports)
+        self._hub = PeerHub(
+            self._node.me, self._take, self._link_changed, self._drop_unsent
+        )
+        self._quarantine = Quarantine()
+        self._inventory: Inventory | None = None
+        self._placement: Placement | None = None
+        self._domains_out: frozenset[str] = frozenset()
+        self._keeper_by_id: dict[UpstreamId, UpstreamKeeper] = {}
+        self._lost_by_id: dict[UpstreamId, _Lost] = {}
+        self._tasks: list[Task] = []
+
+    async def start(self) -> None:
+        """Open the sockets and serve."""
+        await self._hub.start()
+        await self._node.start(
+            NodeHandlers(
+                self._place,
+                self._configure,
+                self._set_leaving,
+                self._take_notices,
+                self._describe,
+            )
+        )
+        self._tasks = [
+            create_task(self._run_ticks()),
+            create_task(self._run_polls()),
+        ]
+        self._node.install_signals()
+
+    async def serve(self) -> None:
+        """Serve until a graceful shutdown has finished."""
+        await self._node.wait_stop(self._count_in_flight)
+
+    async def close(self) -> None:
+        """Close all links."""
+        for task in self._tasks:
+            task.cancel()
+        for keeper in self._keeper_by_id.values():
+            keeper.close()
+        await self._hub.close()
+        await self._node.close()
+
+    def _count_in_flight(self) -> int:
+        # The unready delay is over when this is first asked, so that what
+        # no other gate has taken over is refused from now on.
+        for keeper in self._keeper_by_id.values():
+            if not keeper.policy.health.is_gate_stopping:
+                keeper.step(Stopping())
+        return sum(
+            keeper.policy.in_flight + keeper.policy.queued
+            for keeper in self._keeper_by_id.values()
+        )
+
+    def _configure(self, configuration: Configuration) -> None:
+        self._inventory = configuration.inventory
+        out = frozenset(configuration.rules.failure_domains_out)
+        for keeper in self._keeper_by_id.values():
+            domain = keeper.policy.upstream.failure_domain
+            is_out = domain in out
+            if is_out != keeper.policy.health.is_domain_out:
+                keeper.step(DomainChanged(is_out))
+        self._domains_out = out
+        self._place()
+
+    def _place(self) -> None:
+        if self._inventory is None:
+            return
+        members = self._node.members()
+        former = self._placement
+        self._placement = Placement(self._inventory, members)
+        self._connect_near_gates(members)
+        owned = self._placement.owned_by(self._node.me.id)
+        for upstream_id in sorted(owned):
+            upstream = self._inventory.upstream_by_id[upstream_id]
+            keeper = self._keeper_by_id.get(upstream_id)
+            if keeper is not None and keeper.policy.upstream != upstream:
+                self._drop(upstream_id)
+                keeper = None
+            if keeper is None or keeper.policy.health.is_gate_stopping:
+                self._adopt(upstream, former)
+            self._lost_by_id.pop(upstream_id, None)
+        now = monotonic()
+        for kept in self._keeper_by_id:
+            if kept not in owned:
+                self._lost_by_id.setdefault(kept, _Lost(now))
+
+    def _connect_near_gates(self, members: list[Member]) -> None:
+        for member in members:
+            is_near = member.failure_domain == self._node.me.failure_domain
+            is_other = member.id != self._node.me.id
+            if member.role is Role.gate and is_near and is_other:
+                self._hub.connect(member.id, member.peer)
+        known = self._node.membership.states()
+        for peer in self._hub.peers():
+            if peer not in known:
+                self._hub.disconnect(peer)
+
+    def _adopt(self, upstream: Upstream, former: Placement | None) -> None:
+        self._drop(upstream.id)
+        now = monotonic()
+        owner = former.gate_of(upstream.id) if former else None
+        is_elsewhere = owner is not None and owner.id != self._node.me.id
+        handover_due = now + _HANDOVER_TIME if is_elsewhere else 0
+        keeper = UpstreamKeeper(
+            upstream,
+            self._quarantine,
+            self._node,
+            self._hub,
+            is_learned=self._is_learned,
+            handover_due=handover_due,
+        )
+        self._keeper_by_id[upstream.id] = keeper
+        keeper.start()
+        if upstream.failure_domain in self._domains_out:
+            keeper.step(DomainChanged(is_out=True))
+        if upstream.id in self._node.synchronizer.leaving.upstreams:
+            keeper.step(PlatformReported(is_leaving=True))
+        if is_elsewhere:
+            self._hub.connect(owner.id, owner.peer)
+            self._hub.send(
+                owner.id,
+                HandoverRequest(
+                    upstream.id, self._node.me.id, self._node.me.peer
+                ),
+            )
+        self._node.events.record('gate', 'adopted', upstream=upstream.id)
+
+    def _drop(self, upstream_id: UpstreamId) -> None:
+        keeper = self._keeper_by_id.pop(upstream_id, None)
+        if keeper is not None:
+            keeper.step(Stopping())
+            keeper.close()
+            self._node.events.record('gate', 'dropped', upstream=upstream_id)
+
+    def _set_leaving(self, leaving: frozenset[UpstreamId]) -> None:
+        for keeper in self._keeper_by_id.values():
+            is_leaving = keeper.policy.upstream.id in leaving
+            keeper.step(PlatformReported(is_leaving))
+
+    def _take_notices(self, notices: list[Notice]) -> None:
+        now = monotonic()
+        is_news = [self._quarantine.take_notice(seen, now) for seen in notices]
+        if any(is_news):
+            self._tell_notices(is_urgent=True)
+
+    def _tell_notices(self, *, is_urgent: bool) -> None:
+        notices = self._quarantine.notices(monotonic(), _MAX_NOTICES)
+        self._node.tell_notices(notices, is_urgent=is_urgent)
+
+    def _link_changed(self, peer: MemberId) -> None:
+        if not self._hub.is_up(peer):
+            return
+        now = monotonic()
+        views = [
+            keeper.policy.view(now, with_holdings=True)
+            for keeper in self._keeper_by_id.values()
+        ]
+        self._hub.send(peer, ViewReport(views))
+
+    def _drop_unsent(self, peer: MemberId, messages: list) -> None:
+        self._node.metrics.count('gate.replies_unsent', len(messages))
+
+    def _take(self, sender: MemberId, message: PeerMessage) -> None:
+        if isinstance(message, SubQuery):
+            self._offer(sender, message)
+        elif isinstance(message, Cancel):
+            self._cancel(message)
+        elif isinstance(message, HandoverRequest):
+            self._hand_over(sender, message)
+        elif isinstance(message, Suspicion):
+            self._quarantine.record_death(
+                message.fingerprint,
+                message.upstream,
+                message.in_flight,
+                monotonic(),
+            )
+        elif isinstance(message, Handover):
+            keeper = self._keeper_by_id.get(message.upstream)
+            if keeper is not None:
+                keeper.step(HandoverReceived(message))
+
+    def _offer(self, sender: MemberId, sub_query: SubQuery) -> None:
+        self._node.metrics.count('gate.sub_queries')
+        keeper = self._keeper_by_id.get(sub_query.upstream)
+        if keeper is None:
+            self._hub.send(sender, _refuse(sub_query, Reason.not_owner))
+            return
+        deadline = monotonic() + sub_query.remaining_ms / _MS
+        keeper.step(Offered(sender, sub_query, deadline))
+
+    def _cancel(self, message: Cancel) -> None:
+        keeper = self._keeper_by_id.get(message.upstream)
+        if keeper is not None:
+            keeper.step(Cancelled(message.id))
+
+    def _hand_over(self, sender: MemberId, request: HandoverRequest) -> None:
+        keeper = self._keeper_by_id.get(request.upstream)
+        if keeper is None:
+            return
+        self._hub.connect(request.member, request.reply_to)
+        keeper.step(Stopping())
+        self._hub.send(request.member, keeper.policy.make_handover())
+        self._lost_by_id.setdefault(request.upstream, _Lost(monotonic()))
+        self._node.events.record(
+            'gate', 'handed_over', upstream=request.upstream, to=sender
+        )
+
+    async def _run_ticks(self) -> None:
+        while True:
+            now = monotonic()
+            for keeper in list(self._keeper_by_id.values()):
+                keeper.tick()
+            self._drop_lost(now)
+            await sleep(_TICK)
+
+    def _drop_lost(self, now: Instant) -> None:
+        for upstream_id, lost in list(self._lost_by_id.items()):
+            keeper = self._keeper_by_id.get(upstream_id)
+            if keeper is None:
+                self._lost_by_id.pop(upstream_id)
+                continue
+            is_late = now - lost.since > _KEEP_AFTER_LOSS
+            if is_late and not keeper.policy.health.is_gate_stopping:
+                keeper.step(Stopping())
+            if keeper.policy.health.is_gate_stopping:
+                if not keeper.policy.in_flight:
+                    self._lost_by_id.pop(upstream_id)
+                    self._drop(upstream_id)
+
+    async def _run_polls(self) -> None:
+        elapsed = 0.0
+        while True:
+            for keeper in list(self._keeper_by_id.values()):
+                keeper.poll()
+            await sleep(_LOAD_INTERVAL)
+            elapsed += _LOAD_INTERVAL
+            if elapsed >= _NOTICE_INTERVAL:
+                elapsed = 0
+                self._tell_notices(is_urgent=False)
+
+    def _describe(self) -> object:
+        return {
+            'upstreams': {
+                keeper.policy.upstream.id: {
+                    'in_flight': keeper.policy.in_flight,
+                    'queued': keeper.policy.queued,
+                    'window': keeper.policy.window_size,
+                    'connections': keeper.policy.connections,
+                    'holdings': keeper.policy.holdings,
+                }
+                for keeper in self._keeper_by_id.values()
+            },
+            'links': self._hub.linked(),
+        }
+
+
+def _refuse(sub_query: SubQuery, reason: Reason) -> SubReply:
+    return SubReply(
+        sub_query.id,
+        SubState.not_run,
+        reason,
+        None,
+        b'null',
+        0,
+        0,
+        None,
+    )
+
+
+def run() -> None:
+    """Run the program."""
+    run_daemon(Gate)
--- /dev/null
+++ b/src/sesametrack/programs/keeper.py
@@ -0,0 +1,149 @@
+"""One upstream of a gate: its policy, connections and control connection."""
+
+from functools import singledispatchmethod
+from time import monotonic
+
+from sesametrack.contracts.inventory import Upstream
+from sesametrack.contracts.messages import Suspicion, ViewReport
+from sesametrack.contracts.types import Instant
+from sesametrack.links.peers import PeerHub
+from sesametrack.links.upstream import (
+    UpstreamConnection,
+    UpstreamControl,
+    remaining_time,
+)
+from sesametrack.programs.node import Node
+from sesametrack.upstreams.actions import (
+    CloseConnection,
+    OpenConnection,
+    ProbeConnection,
+    PublishView,
+    RaiseSuspicion,
+    SendCancel,
+    SendReply,
+    SendRequest,
+    UpstreamAction,
+)
+from sesametrack.upstreams.events import Ticked, UpstreamEvent
+from sesametrack.upstreams.policy import UpstreamPolicy
+from sesametrack.upstreams.quarantine import Quarantine
+
+
+class UpstreamKeeper:
+    """Drives the policy of one upstream and carries out its actions."""
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        quarantine: Quarantine,
+        node: Node,
+        hub: PeerHub,
+        *,
+        is_learned: bool,
+        handover_due: Instant,
+    ) -> None:
+        """Bind the parts; `start` opens connections."""
+        self._node = node
+        self._hub = hub
+        self.policy = UpstreamPolicy(
+            upstream,
+            quarantine,
+            monotonic(),
+            is_learned=is_learned,
+            handover_due=handover_due,
+        )
+        self._control = UpstreamControl(upstream.address, self.step)
+        self._connection_by_number: dict[int, UpstreamConnection] = {}
+        self._is_closed = False
+
+    def start(self) -> None:
+        """Open the control connection and the pool."""
+        self._control.start()
+        self._control.poll()
+        self.step(Ticked())
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._is_closed = True
+        self._control.close()
+        for connection in self._connection_by_number.values():
+            connection.close()
+        self._connection_by_number.clear()
+
+    def tick(self) -> None:
+        """Let the policy see that time has passed."""
+        self.step(Ticked())
+
+    def poll(self) -> None:
+        """Ask the upstream for its load report."""
+        self._control.poll()
+
+    def step(self, event: UpstreamEvent) -> None:
+        """Drive the policy with an event."""
+        if self._is_closed:
+            return
+        for action in self.policy.handle(event, monotonic()):
+            self._act(action)
+
+    @singledispatchmethod
+    def _act(self, action: UpstreamAction) -> None:
+        raise NotImplementedError(type(action).__name__)
+
+    @_act.register
+    def _open(self, action: OpenConnection) -> None:
+        connection = UpstreamConnection(
+            action.connection, self.policy.upstream.address, self.step
+        )
+        self._connection_by_number[action.connection] = connection
+        connection.start()
+
+    @_act.register
+    def _close(self, action: CloseConnection) -> None:
+        connection = self._connection_by_number.pop(action.connection, None)
+        if connection is not None:
+            connection.close()
+
+    @_act.register
+    def _probe(self, action: ProbeConnection) -> None:
+        self._connection_by_number[action.connection].probe()
+
+    @_act.register
+    def _send(self, action: SendRequest) -> None:
+        remaining = remaining_time(action.deadline, monotonic())
+        connection = self._connection_by_number[action.connection]
+        connection.search(action.sub_query, remaining)
+        self._node.metrics.count('gate.requests')
+
+    @_act.register
+    def _cancel(self, action: SendCancel) -> None:
+        self._control.cancel(action.id)
+        self._node.metrics.count('gate.cancels')
+
+    @_act.register
+    def _reply(self, action: SendReply) -> None:
+        self._hub.send(action.receiver, action.reply)
+        self._node.metrics.count(f'gate.replies.{action.reply.state.name}')
+
+    @_act.register
+    def _suspect(self, action: RaiseSuspicion) -> None:
+        self._node.events.record(
+            'quarantine',
+            'upstream_died',
+            upstream=action.upstream,
+            fingerprint=action.fingerprint,
+            in_flight=action.in_flight,
+        )
+        self._hub.broadcast(
+            Suspicion(action.upstream, action.fingerprint, action.in_flight)
+        )
+
+    @_act.register
+    def _publish(self, action: PublishView) -> None:
+        view = self.policy.view(monotonic(), with_holdings=True)
+        self._hub.broadcast(ViewReport([view]))
+        self._node.events.record(
+            'upstream',
+            'view_changed',
+            upstream=view.upstream,
+            accepting=view.accepting,
+        )
--- /dev/null
+++ b/src/sesametrack/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Events, metrics and logs."""
--- /dev/null
+++ b/src/sesametrack/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions a gate makes about one upstream."""
--- /dev/null
+++ b/src/sesametrack/upstreams/policy.py
@@ -0,0 +1,500 @@
+"""The policy of one upstream: limits, queue, health and quarantine."""
+
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from sesametrack.contracts.inventory import Upstream
+from sesametrack.contracts.messages import (
+    Handover,
+    SubQueryKind,
+    SubReply,
+    SubState,
+    UpstreamView,
+)
+from sesametrack.contracts.outcomes import Reason
+from sesametrack.contracts.snapshots import Holding
+from sesametrack.contracts.types import Instant, Milliseconds, Seconds
+from sesametrack.upstreams.actions import (
+    PublishView,
+    RaiseSuspicion,
+    SendCancel,
+    SendReply,
+    SendRequest,
+    UpstreamAction,
+)
+from sesametrack.upstreams.connections import ConnectionPool
+from sesametrack.upstreams.events import (
+    Cancelled,
+    ConnectionEnded,
+    ConnectionOpened,
+    DomainChanged,
+    HandoverReceived,
+    LoadReported,
+    Offered,
+    PlatformReported,
+    ProbeAnswered,
+    Responded,
+    Response,
+    ResponseKind,
+    Stopping,
+    Ticked,
+    UpstreamEvent,
+)
+from sesametrack.upstreams.foreign import ForeignWork
+from sesametrack.upstreams.health import Health
+from sesametrack.upstreams.latency import ServiceTime
+from sesametrack.upstreams.quarantine import Quarantine
+from sesametrack.upstreams.queue import DeadlineQueue, Waiting
+from sesametrack.upstreams.window import ConcurrencyWindow
+
+_MS: Milliseconds = 1000
+_EMPTY = b'null'
+_MAX_QUEUE = 512
+# A response this many times slower than the learned mean is a jump; a
+# request in flight for this long holds back new ones.
+_JUMP_FACTOR = 4
+_MIN_JUMP: Seconds = 0.03
+_MIN_JUMP_SAMPLES = 8
+_JUMPS_TO_SHRINK = 2
+# A reply is overdue after this many mean response times; then the idle
+# connections are probed, since a silent path would take them as well.
+_OVERDUE_FACTOR = 10
+_MIN_OVERDUE: Seconds = 0.15
+# The connection of a request without a reply is closed this long after its
+# deadline, or at once if a probe beside it went unanswered.
+_DEADLINE_GRACE: Seconds = 0.1
+
+# Connections that die within this time belong to one crash.
+_SAME_CRASH: Seconds = 0.5
+
+_STATE_BY_KIND = {
+    ResponseKind.answered: (SubState.answered, Reason.none),
+    ResponseKind.shed: (SubState.not_run, Reason.shed),
+    ResponseKind.draining: (SubState.not_run, Reason.draining),
+    ResponseKind.snapshot_gone: (SubState.not_run, Reason.snapshot_gone),
+    ResponseKind.cancelled: (SubState.unknown, Reason.cancelled),
+    ResponseKind.failed: (SubState.unknown, Reason.upstream_error),
+}
+
+
+@dataclass(slots=True)
+class _Running:
+    waiting: Waiting
+    sent_at: Instant
+    is_cancelled: bool = False
+    has_probed: bool = False
+    is_jump_counted: bool = False
+
+
+class UpstreamPolicy:
+    """Decides what one gate does with one upstream.
+
+    Events and the time go in, actions come out; `handle` is the only way
+    to change the state. Slots, the cold-start window and the connection
+    limit are never exceeded by the actions returned.
+    """
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        quarantine: Quarantine,
+        now: Instant,
+        *,
+        is_learned: bool = True,
+        handover_due: Instant = 0,
+    ) -> None:
+        """Start cautiously; `is_learned` is off for the baseline policy.
+
+        Nothing is started before the former gate's handover, or before the
+        instant at which that is due.
+        """
+        self.upstream = upstream
+        self.health = Health(handover_due=handover_due)
+        self.holdings: list[Holding] = []
+        self._is_learned = is_learned
+        self._quarantine = quarantine
+        self._queue = DeadlineQueue()
+        self._pool = ConnectionPool(upstream.slots, upstream.connections)
+        self._window = ConcurrencyWindow(
+            upstream.slots, now, is_learned=is_learned
+        )
+        self._service_time = ServiceTime()
+        self._foreign = ForeignWork()
+        self._running: dict[int, _Running] = {}
+        self._jumps = 0
+        self._deaths: list[Instant] = []
+        self._published: tuple = ()
+
+    def handle(
+        self, event: UpstreamEvent, now: Instant
+    ) -> list[UpstreamAction]:
+        """Apply an event and return the actions that follow from it."""
+        actions = self._apply(event, now)
+        actions.extend(self._dispatch(now))
+        self._foreign.record_own(len(self._running), now)
+        actions.extend(self._publish(now))
+        return actions
+
+    def view(self, now: Instant, *, with_holdings: bool) -> UpstreamView:
+        """Return what entries need to know to choose a replica."""
+        return UpstreamView(
+            self.upstream.id,
+            self.health.refusal(now) is Reason.none and bool(self.holdings),
+            self._expected_wait() * _MS,
+            self._idle_slots(),
+            self._service_time.mean * _MS,
+            list(self.holdings) if with_holdings else None,
+        )
+
+    def make_handover(self) -> Handover:
+        """Return the learned state for the next gate of this upstream."""
+        return Handover(
+            self.upstream.id,
+            self._window.size,
+            self._service_time.mean * _MS,
+            list(self.holdings),
+            len(self._running),
+        )
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests sent and not yet ended."""
+        return len(self._running)
+
+    @property
+    def queued(self) -> int:
+        """Number of sub-queries that wait."""
+        return len(self._queue)
+
+    @property
+    def window_size(self) -> int:
+        """Present size of the concurrency window."""
+        return self._window.size
+
+    @property
+    def connections(self) -> int:
+        """Number of pooled connections, opening ones included."""
+        return len(self._pool)
+
+    @singledispatchmethod
+    def _apply(
+        self, event: UpstreamEvent, now: Instant
+    ) -> list[UpstreamAction]:
+        raise NotImplementedError(type(event).__name__)
+
+    @_apply.register
+    def _offer(self, event: Offered, now: Instant) -> list[UpstreamAction]:
+        waiting = Waiting(event.sender, event.sub_query, event.deadline, now)
+        reason = self._refusal(waiting, now)
+        if reason is not Reason.none:
+            return [self._refuse(waiting, reason, now)]
+        self._queue.push(waiting)
+        return []
+
+    @_apply.register
+    def _cancel(self, event: Cancelled, now: Instant) -> list[UpstreamAction]:
+        waiting = self._queue.remove(event.id)
+        if waiting is not None:
+            return [self._refuse(waiting, Reason.cancelled, now)]
+        for running in self._running.values():
+            is_same = running.waiting.sub_query.id == event.id
+            if is_same and not running.is_cancelled:
+                running.is_cancelled = True
+                return [SendCancel(event.id)]
+        return []
+
+    @_apply.register
+    def _open(
+        self, event: ConnectionOpened, now: Instant
+    ) -> list[UpstreamAction]:
+        self._pool.record_open(event.connection, now)
+        return []
+
+    @_apply.register
+    def _end(
+        self, event: ConnectionEnded, now: Instant
+    ) -> list[UpstreamAction]:
+        in_flight = self._count_in_flight_at_death(now)
+        running = self._running.pop(event.connection, None)
+        self._pool.record_end(event.connection, now)
+        if running is None:
+            return []
+        self._deaths.append(now)
+        self._window.record_failure(now)
+        self._foreign.add_ghost(now)
+        return self._report_death(running, in_flight, now)
+
+    @_apply.register
+    def _probe_answered(
+        self, event: ProbeAnswered, now: Instant
+    ) -> list[UpstreamAction]:
+        self._pool.release(event.connection, now)
+        return []
+
+    @_apply.register
+    def _respond(self, event: Responded, now: Instant) -> list[UpstreamAction]:
+        running = self._running.pop(event.connection, None)
+        if event.is_reusable:
+            self._pool.release(event.connection, now)
+        else:
+            self._pool.record_end(event.connection, now)
+        if running is None:
+            return []
+        self._learn(running, event.response, now)
+        state, reason = _STATE_BY_KIND[event.response.kind]
+        reply = SubReply(
+            running.waiting.sub_query.id,
+            state,
+            reason,
+            event.response.snapshot,
+            event.response.body,
+            (running.sent_at - running.waiting.queued_at) * _MS,
+            (now - running.sent_at) * _MS,
+            self.view(now, with_holdings=False),
+        )
+        return [SendReply(running.waiting.sender, reply)]
+
+    @_apply.register
+    def _load(self, event: LoadReported, now: Instant) -> list[UpstreamAction]:
+        self._foreign.record_report(event.in_flight, now)
+        self.health.is_report_draining = event.is_draining
+        if event.is_cold and self._window.is_full_size:
+            self._window.record_failure(now)
+        if event.holdings:
+            self.holdings = event.holdings
+        return []
+
+    @_apply.register
+    def _platform(
+        self, event: PlatformReported, now: Instant
+    ) -> list[UpstreamAction]:
+        self.health.is_leaving = event.is_leaving
+        return []
+
+    @_apply.register
+    def _take_over(
+        self, event: HandoverReceived, now: Instant
+    ) -> list[UpstreamAction]:
+        self.health.handover_due = now
+        self._window.restore(int(event.handover.window))
+        self._service_time.mean = event.handover.service_ms / _MS
+        if not self.holdings:
+            self.holdings = event.handover.holdings
+        for _ in range(event.handover.in_flight):
+            self._foreign.add_ghost(now)
+        return []
+
+    @_apply.register
+    def _change_domain(
+        self, event: DomainChanged, now: Instant
+    ) -> list[UpstreamAction]:
+        self.health.is_domain_out = event.is_out
+        if not event.is_out:
+            return []
+        return self._refuse_all(Reason.failure_domain_out, now)
+
+    @_apply.register
+    def _stop(self, event: Stopping, now: Instant) -> list[UpstreamAction]:
+        self.health.is_gate_stopping = True
+        return self._refuse_all(Reason.not_owner, now)
+
+    @_apply.register
+    def _tick(self, event: Ticked, now: Instant) -> list[UpstreamAction]:
+        actions: list[UpstreamAction] = []
+        late = self._queue.pop_late(now + self._least_run_time())
+        for waiting in late:
+            actions.append(self._refuse(waiting, Reason.deadline, now))
+        if self._is_learned:
+            actions.extend(self._watch_running(now))
+            actions.extend(self._pool.probe_idle(now))
+        closing = self._pool.close_overdue(now)
+        if closing:
+            actions.extend(closing)
+            actions.extend(self._give_up_overdue(now))
+        actions.extend(self._pool.refill(now))
+        return actions
+
+    def _refusal(self, waiting: Waiting, now: Instant) -> Reason:
+        reason = self.health.refusal(now)
+        if reason is not Reason.none:
+            return reason
+        sub_query = waiting.sub_query
+        if self._quarantine.is_convicted(sub_query.fingerprint, now):
+            return Reason.quarantined
+        if len(self._queue) >= _MAX_QUEUE:
+            return Reason.queue_full
+        if sub_query.kind is SubQueryKind.hedge and not self._idle_slots():
+            return Reason.no_idle_slot
+        finish = now + self._expected_wait() + self._least_run_time()
+        if self._is_learned and finish > waiting.deadline:
+            return Reason.overload
+        return Reason.none
+
+    def _refuse(
+        self, waiting: Waiting, reason: Reason, now: Instant
+    ) -> SendReply:
+        reply = SubReply(
+            waiting.sub_query.id,
+            SubState.not_run,
+            reason,
+            None,
+            _EMPTY,
+            (now - waiting.queued_at) * _MS,
+            0,
+            self.view(now, with_holdings=reason is Reason.snapshot_gone),
+        )
+        return SendReply(waiting.sender, reply)
+
+    def _refuse_all(self, reason: Reason, now: Instant) -> list[UpstreamAction]:
+        waiting = self._queue.pop_all()
+        return [self._refuse(refused, reason, now) for refused in waiting]
+
+    def _dispatch(self, now: Instant) -> list[UpstreamAction]:
+        actions: list[UpstreamAction] = []
+        while self._may_start(now):
+            waiting = self._queue.peek()
+            if waiting is None:
+                break
+            if not self._running_allows(waiting.sub_query.kind):
+                break
+            number = self._pool.take_idle(now)
+            if number is None:
+                actions.extend(self._pool.refill(now))
+                break
+            self._queue.remove(waiting.sub_query.id)
+            self._running[number] = _Running(waiting, now)
+            actions.append(
+                SendRequest(number, waiting.sub_query, waiting.deadline)
+            )
+        return actions
+
+    def _may_start(self, now: Instant) -> bool:
+        if not len(self._queue) or self.health.refusal(now) is not Reason.none:
+            return False
+        return self._idle_slots() > 0
+
+    def _running_allows(self, kind: SubQueryKind) -> bool:
+        # A canary has the upstream to itself, so that its death convicts it
+        # and nothing that ran beside it.
+        if not self._running:
+            return True
+        if kind is SubQueryKind.canary:
+            return False
+        return not any(
+            running.waiting.sub_query.kind is SubQueryKind.canary
+            for running in self._running.values()
+        )
+
+    def _idle_slots(self) -> int:
+        limit = self._window.size - self._foreign.count
+        return max(1, limit) - len(self._running) - self._foreign.ghosts
+
+    def _least_run_time(self) -> Seconds:
+        return self._service_time.mean if self._is_learned else 0
+
+    def _expected_wait(self) -> Seconds:
+        width = max(1, self._window.size)
+        ahead = len(self._queue) + max(0, len(self._running) - width + 1)
+        return ahead * self._service_time.mean / width
+
+    def _learn(
+        self, running: _Running, response: Response, now: Instant
+    ) -> None:
+        if response.is_draining or response.kind is ResponseKind.draining:
+            self.health.record_in_band_drain(now)
+        if response.kind in {ResponseKind.shed, ResponseKind.failed}:
+            self._window.record_failure(now)
+        if response.kind is not ResponseKind.answered:
+            return
+        self._quarantine.record_success(running.waiting.sub_query.fingerprint)
+        elapsed = now - running.sent_at
+        is_jump = elapsed > self._jump_limit()
+        self._service_time.record(elapsed)
+        if not is_jump:
+            self._jumps = 0
+            self._window.record_success(now)
+        elif not running.is_jump_counted:
+            self._count_jump(now)
+
+    def _count_jump(self, now: Instant) -> None:
+        # One slow request is a straggler; two in a row are a cold upstream.
+        self._jumps += 1
+        if self._jumps >= _JUMPS_TO_SHRINK:
+            self._window.record_failure(now)
+
+    def _jump_limit(self) -> Seconds:
+        if self._service_time.samples < _MIN_JUMP_SAMPLES:
+            return float('inf')
+        return max(_MIN_JUMP, _JUMP_FACTOR * self._service_time.reference)
+
+    def _watch_running(self, now: Instant) -> list[UpstreamAction]:
+        actions: list[UpstreamAction] = []
+        overdue = max(
+            _MIN_OVERDUE, _OVERDUE_FACTOR * self._service_time.reference
+        )
+        for number, running in list(self._running.items()):
+            elapsed = now - running.sent_at
+            if elapsed > self._jump_limit() and not running.is_jump_counted:
+                running.is_jump_counted = True
+                self._count_jump(now)
+            if elapsed > overdue and not running.has_probed:
+                running.has_probed = True
+                actions.extend(self._pool.probe_idle(now, 0))
+            if now > running.waiting.deadline + _DEADLINE_GRACE:
+                actions.extend(self._give_up(number, now))
+        return actions
+
+    def _give_up_overdue(self, now: Instant) -> list[UpstreamAction]:
+        actions: list[UpstreamAction] = []
+        for number, running in list(self._running.items()):
+            if running.has_probed:
+                actions.extend(self._give_up(number, now))
+        return actions
+
+    def _give_up(self, number: int, now: Instant) -> list[UpstreamAction]:
+        running = self._running.pop(number)
+        self._foreign.add_ghost(now)
+        actions = self._pool.close(number)
+        actions.append(self._lose(running, now))
+        return actions
+
+    def _lose(self, running: _Running, now: Instant) -> SendReply:
+        reply = SubReply(
+            running.waiting.sub_query.id,
+            SubState.unknown,
+            Reason.connection_lost,
+            None,
+            _EMPTY,
+            (running.sent_at - running.waiting.queued_at) * _MS,
+            (now - running.sent_at) * _MS,
+            self.view(now, with_holdings=False),
+        )
+        return SendReply(running.waiting.sender, reply)
+
+    def _count_in_flight_at_death(self, now: Instant) -> int:
+        # The connections of one crash end one after the other; each request
+        # that was in flight with the others counts for all of them.
+        self._deaths = [
+            death for death in self._deaths if now - death < _SAME_CRASH
+        ]
+        return len(self._running) + len(self._deaths)
+
+    def _report_death(
+        self, running: _Running, in_flight: int, now: Instant
+    ) -> list[UpstreamAction]:
+        fingerprint = running.waiting.sub_query.fingerprint
+        self._quarantine.record_death(
+            fingerprint, self.upstream.id, in_flight, now
+        )
+        return [
+            RaiseSuspicion(self.upstream.id, fingerprint, in_flight),
+            self._lose(running, now),
+        ]
+
+    def _publish(self, now: Instant) -> list[UpstreamAction]:
+        is_accepting = self.health.refusal(now) is Reason.none
+        published = (is_accepting, tuple(self.holdings))
+        if published == self._published:
+            return []
+        self._published = published
+        return [PublishView()]
--- /dev/null
+++ b/src/sesametrack/vms/__init__.py
@@ -0,0 +1,1 @@
+"""Membership and life cycle of the daemons."""
--- /dev/null
+++ b/src/sesametrack/vms/events.py
@@ -0,0 +1,92 @@
+"""Typed events and actions of the membership."""
+
+from dataclasses import dataclass
+
+from sesametrack.contracts.members import (
+    GossipMessage,
+    Member,
+    Notice,
+    Versions,
+)
+from sesametrack.contracts.types import Address
+
+
+@dataclass(frozen=True, slots=True)
+class GossipReceived:
+    """A gossip message arrived from an address."""
+
+    message: GossipMessage
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class Ticked:
+    """Time has passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class AddressesLearned:
+    """Addresses at which members may be found: seeds or the VM list."""
+
+    addresses: frozenset[Address]
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveRequested:
+    """This daemon stops on purpose."""
+
+
+@dataclass(frozen=True, slots=True)
+class VersionsChanged:
+    """This daemon has newer versions of platform objects to tell of."""
+
+    versions: Versions
+
+
+@dataclass(frozen=True, slots=True)
+class NoticesChanged:
+    """Notices on crashing requests that every message carries on."""
+
+    notices: tuple[Notice, ...]
+    is_urgent: bool
+
+
+MembershipEvent = (
+    GossipReceived
+    | Ticked
+    | AddressesLearned
+    | LeaveRequested
+    | VersionsChanged
+    | NoticesChanged
+)
+
+
+@dataclass(frozen=True, slots=True)
+class SendGossip:
+    """Send a message in one datagram."""
+
+    address: Address
+    message: GossipMessage
+
+
+@dataclass(frozen=True, slots=True)
+class MembersChanged:
+    """The set of usable members is another one now."""
+
+
+@dataclass(frozen=True, slots=True)
+class VersionsSeen:
+    """A member told of the versions that it has."""
+
+    member: Member
+    versions: Versions
+
+
+@dataclass(frozen=True, slots=True)
+class NoticesSeen:
+    """A member told of crashing requests."""
+
+    notices: list[Notice]
+
+
+MembershipAction = SendGossip | MembersChanged | VersionsSeen | NoticesSeen
