--- a/bench/processes.py
+++ b/bench/processes.py
@@ -9,7 +9,7 @@
 from asyncio.subprocess import DEVNULL, Process
 from contextlib import suppress
 from pathlib import Path
-from signal import SIGKILL, SIGTERM
+from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
 from sys import executable
 from time import monotonic
 
@@ -200,6 +200,36 @@
         )
         return [decode(reply.body, type=ProcessReport) for reply in replies]
 
+    async def reset_reports(self) -> None:
+        """Let the upstreams count from zero again."""
+        domains = range(len(self.deployment.inventory.failure_domains))
+        await gather(
+            *(ask(self._control(index), 'POST', '/reset') for index in domains)
+        )
+
+    async def ran_in_domain(self, index: int) -> int:
+        """Count what the upstreams of a failure domain have run."""
+        reply = await ask(self._control(index), 'GET', '/report')
+        report = decode(reply.body, type=ProcessReport)
+        return sum(counted.ran for counted in report.counts.values())
+
+    def freeze_domain(self, index: int) -> None:
+        """Stop all processes of a failure domain in their tracks."""
+        self._signal_domain(index, SIGSTOP)
+
+    def thaw_domain(self, index: int) -> None:
+        """Let the processes of a failure domain go on."""
+        self._signal_domain(index, SIGCONT)
+
+    def _signal_domain(self, index: int, signal: int) -> None:
+        domain = self.deployment.inventory.failure_domains[index].id
+        names = [f'upstreams-{domain}']
+        for vm in self.vms:
+            if vm.failure_domain == domain:
+                names.extend((f'{vm.id}/entry', f'{vm.id}/gate'))
+        for name in names:
+            self.process_by_name[name].send_signal(signal)
+
     async def debug(self, vm: Vm, program: str) -> dict:
         """Read a daemon's debug view."""
         port = _ENTRY_ADMIN if program == 'entry' else _GATE_ADMIN
--- a/src/sesametrack/links/http_client.py
+++ b/src/sesametrack/links/http_client.py
@@ -61,6 +61,11 @@
         """Tell whether another request may follow."""
         return self._protocol.our_state is IDLE
 
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether the server has closed the connection."""
+        return self._reader.at_eof() or self._writer.is_closing()
+
     def write(self, request: HttpRequest) -> None:
         """Hand a request to the socket."""
         headers = [
--- a/src/sesametrack/links/upstream.py
+++ b/src/sesametrack/links/upstream.py
@@ -93,16 +93,20 @@
         try:
             await self._http.start(_CONNECT_TIMEOUT)
             self._on_event(ConnectionOpened(self._number))
-            while self._http.is_reusable:
-                self._take(await self._http.read())
+            is_reusable = True
+            while is_reusable:
+                reply = await self._http.read()
+                # Asked before the reply is passed on, since the policy may
+                # answer it with the next request at once.
+                is_reusable = self._http.is_reusable
+                self._take(reply, is_reusable=is_reusable)
         except (OSError, EOFError, TimeoutError, ProtocolError) as ended:
             _log.debug('connection ended: %r', ended)
             self._on_event(ConnectionEnded(self._number))
         finally:
             self._http.abort()
 
-    def _take(self, reply: HttpResponse) -> None:
-        is_reusable = self._http.is_reusable
+    def _take(self, reply: HttpResponse, *, is_reusable: bool) -> None:
         if self._is_probed:
             self._is_probed = False
             self._on_event(ProbeAnswered(self._number))
--- a/src/sesametrack/programs/gate.py
+++ b/src/sesametrack/programs/gate.py
@@ -310,15 +310,10 @@
                 self._tell_notices(is_urgent=False)
 
     def _describe(self) -> object:
+        now = monotonic()
         return {
             'upstreams': {
-                keeper.policy.upstream.id: {
-                    'in_flight': keeper.policy.in_flight,
-                    'queued': keeper.policy.queued,
-                    'window': keeper.policy.window_size,
-                    'connections': keeper.policy.connections,
-                    'holdings': keeper.policy.holdings,
-                }
+                keeper.policy.upstream.id: keeper.policy.describe(now)
                 for keeper in self._keeper_by_id.values()
             },
             'links': self._hub.linked(),
--- a/src/sesametrack/upstreams/connections.py
+++ b/src/sesametrack/upstreams/connections.py
@@ -55,6 +55,12 @@
         """Count the connections that count against the limit."""
         return len(self._by_number)
 
+    def describe(self) -> dict[str, int]:
+        """Return the number of connections by state."""
+        return {
+            state.value: len(self._numbers(state)) for state in ConnectionState
+        }
+
     def refill(self, now: Instant) -> list[UpstreamAction]:
         """Open what is missing, at most one at a time after a failure."""
         actions: list[UpstreamAction] = []
--- a/src/sesametrack/upstreams/policy.py
+++ b/src/sesametrack/upstreams/policy.py
@@ -156,6 +156,20 @@
             len(self._running),
         )
 
+    def describe(self, now: Instant) -> dict[str, object]:
+        """Return the state for the debug view."""
+        return {
+            'in_flight': len(self._running),
+            'queued': len(self._queue),
+            'window': self._window.size,
+            'foreign': self._foreign.count,
+            'ghosts': self._foreign.ghosts,
+            'refusal': self.health.refusal(now).value,
+            'service_ms': self._service_time.mean * _MS,
+            'connections': self._pool.describe(),
+            'holdings': self.holdings,
+        }
+
     @property
     def in_flight(self) -> int:
         """Number of requests sent and not yet ended."""
--- a/standins/host.py
+++ b/standins/host.py
@@ -7,7 +7,7 @@
 from sesametrack.contracts.snapshots import Holding, Snapshot
 from sesametrack.links.http import HttpRequest, HttpResponse, json_response
 from sesametrack.links.http_server import HttpServer
-from standins.faults import Change, ProcessReport
+from standins.faults import Change, Counts, ProcessReport
 from standins.upstream import RunLog, UpstreamStandin
 
 _FIRST_VERSION = 1
@@ -74,6 +74,10 @@
         if request.path == '/change':
             self.apply(decode(request.body, type=Change))
             return json_response(200, {})
+        if request.path == '/reset':
+            self._run_log.reset()
+            for standin in self.by_id.values():
+                standin.counts = Counts()
         return json_response(200, self.report())
 
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -49,6 +49,11 @@
         self.runs_by_request: dict[str, int] = {}
         self.action_runs: dict[str, int] = {}
 
+    def reset(self) -> None:
+        """Forget what was run."""
+        self.runs_by_request.clear()
+        self.action_runs.clear()
+
     def record(self, request_id: str, action: str) -> None:
         """Count one run."""
         runs = self.runs_by_request
