--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -28,6 +28,7 @@
 _KEEP = flags.DEFINE_string('keep', None, 'keep logs and files in a folder')
 _WARM_UP_S = 2.0
 _WARM_UP_RATE = 20.0
+_SETTLE_S = 0.5
 _US = 1_000_000
 
 
@@ -35,41 +36,53 @@
     scenario: Scenario, seed: int, policy: str, folder: Path
 ) -> Figures:
     """Run one scenario on the real processes and return its figures."""
-    rate = _RATE.value or scenario.rate
-    duration = _DURATION.value or scenario.duration
     cluster = Cluster(scenario.make_deployment(), folder, seed, policy)
     balancer = Balancer(cluster.entries)
     try:
         await cluster.start()
         balancer.start()
-        warm_up = scenario.make_source(Random(seed + 1))
-        await run_load(balancer, warm_up, _WARM_UP_RATE, _WARM_UP_S, seed)
-        await cluster.reset_reports()
-        cpu_before = _cpu(cluster)
-        run = Run(cluster, Random(seed), duration)
-        script = create_task(scenario.script(run))
-        results = await run_load(
-            balancer, scenario.make_source(Random(seed)), rate, duration, seed
-        )
-        await script
-        await sleep(0.5)
-        reports = await cluster.reports()
-        figures = compute_figures(
-            scenario.name, policy, seed, duration, results, reports
-        )
-        ran = max(1, total_counts(reports).ran)
-        figures.cpu_us_per_subquery = {
-            program: round((used - cpu_before[program]) * _US / ran, 1)
-            for program, used in _cpu(cluster).items()
-        }
-        figures.notes.update(run.notes)
-        return figures
+        return await _measure(scenario, seed, policy, cluster, balancer)
     finally:
         await balancer.close()
-        codes = await cluster.close()
-        bad = {name: code for name, code in codes.items() if code}
-        if bad:
-            stderr.write(f'exit codes: {bad}\n')
+        _report_exit_codes(await cluster.close())
+
+
+async def _measure(
+    scenario: Scenario,
+    seed: int,
+    policy: str,
+    cluster: Cluster,
+    balancer: Balancer,
+) -> Figures:
+    rate = _RATE.value or scenario.rate
+    duration = _DURATION.value or scenario.duration
+    warm_up = scenario.make_source(Random(seed + 1))
+    await run_load(balancer, warm_up, _WARM_UP_RATE, _WARM_UP_S, seed)
+    await cluster.reset_reports()
+    cpu_before = _cpu(cluster)
+    run = Run(cluster, Random(seed), duration)
+    script = create_task(scenario.script(run))
+    source = scenario.make_source(Random(seed))
+    results = await run_load(balancer, source, rate, duration, seed)
+    await script
+    await sleep(_SETTLE_S)
+    reports = await cluster.reports()
+    figures = compute_figures(
+        scenario.name, policy, seed, duration, results, reports
+    )
+    ran = max(1, total_counts(reports).ran)
+    figures.cpu_us_per_subquery = {
+        program: round((used - cpu_before[program]) * _US / ran, 1)
+        for program, used in _cpu(cluster).items()
+    }
+    figures.notes.update(run.notes)
+    return figures
+
+
+def _report_exit_codes(codes: dict[str, int]) -> None:
+    bad = {name: code for name, code in codes.items() if code}
+    if bad:
+        stderr.write(f'exit codes: {bad}\n')
 
 
 def _cpu(cluster: Cluster) -> dict[str, float]:
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -11,7 +11,7 @@
 from standins.faults import ProcessReport
 
 _MAX_US = 120_000_000
-_SHARE_DIGITS = 6
+_SHARE_TOLERANCE = 0.000002
 
 
 class Figures(Struct):
@@ -137,30 +137,36 @@
 
 def _is_wrong_answer(result: Result) -> bool:
     content = result.content
-    if content['request_id'] != result.question.request_id:
+    question = result.question
+    if content['request_id'] != question.request_id:
         return True
-    version = content['snapshot'][0]
-    covered = 0
     next_key = 0
     for shard in content['shards']:
         first, last = shard['key_range']
-        body = shard['body']
-        is_own = (
-            body['nonce'] == result.question.query['nonce']
-            and body['version'] == version
-            and body['range'] == [first, last]
-        )
-        if first < next_key or not is_own:
+        if first < next_key or not _is_own(shard, result):
             return True
         next_key = last + 1
-        covered += last - first + 1
-    if result.question.key is not None:
+    if question.key is not None:
         return len(content['shards']) != 1
+    return not _is_coverage_true(content)
+
+
+def _is_own(shard: dict, result: Result) -> bool:
+    body = shard['body']
+    return (
+        body['nonce'] == result.question.query['nonce']
+        and body['version'] == result.content['snapshot'][0]
+        and body['range'] == shard['key_range']
+    )
+
+
+def _is_coverage_true(content: dict) -> bool:
     stated = content['coverage']
-    share = covered / KEY_SPACE
-    is_share_true = abs(stated['share'] - share) < 10**-_SHARE_DIGITS * 2
+    ranges = [shard['key_range'] for shard in content['shards']]
+    covered = sum(last - first + 1 for first, last in ranges)
+    difference = abs(stated['share'] - covered / KEY_SPACE)
     is_complete = covered == KEY_SPACE
-    return not is_share_true or stated['complete'] != is_complete
+    return difference < _SHARE_TOLERANCE and stated['complete'] == is_complete
 
 
 def _count_split_actions(reports: list[ProcessReport]) -> int:
--- a/bench/load.py
+++ b/bench/load.py
@@ -134,7 +134,9 @@
 
     async def _poll(self) -> None:
         while True:
-            states = await gather(*(self._is_ready(e) for e in self._entries))
+            states = await gather(
+                *(self._is_ready(entry) for entry in self._entries)
+            )
             self._ready = [
                 entry
                 for entry, is_ready in zip(self._entries, states, strict=True)
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -20,6 +20,7 @@
 from standins.platform import PlatformFaults
 
 _ACTION_SHARE = 0.05
+_FIRST_SERVICE_SHARE = 0.8
 
 
 @dataclass(slots=True)
@@ -71,7 +72,9 @@
             return Question(
                 whole, nonce, query, deadline_s, is_repeatable=False
             )
-        service = sharded[0] if rng.random() < 0.8 else sharded[1]
+        service = (
+            sharded[0] if rng.random() < _FIRST_SERVICE_SHARE else sharded[1]
+        )
         return Question(service, nonce, {'nonce': nonce}, deadline_s)
 
     return make_question
@@ -141,12 +144,6 @@
 
 async def _roll(cluster: Cluster, version: int, letter: str) -> None:
     inventory = cluster.deployment.inventory
-    shards = {
-        shard.id: KeyRange(shard.first, shard.last)
-        for service in inventory.services
-        if service.id in {'counter-desk', 'payout-run'}
-        for shard in service.shards
-    }
     for service in inventory.services:
         for searcher in inventory.searchers:
             is_due = searcher.id.endswith(letter)
--- a/src/sesametrack/links/http_client.py
+++ b/src/sesametrack/links/http_client.py
@@ -88,21 +88,22 @@
         May be awaited before a request is written, and then also notices
         that the server closes an idle connection.
         """
-        head: Response | None = None
+        head = await self._next_event()
+        while not isinstance(head, Response):
+            if isinstance(head, ConnectionClosed):
+                raise EOFError(f'{self._address} closed the connection')
+            head = await self._next_event()
         body = bytearray()
-        while True:
+        event = await self._next_event()
+        while isinstance(event, Data):
+            body.extend(event.data)
             event = await self._next_event()
-            if isinstance(event, Response):
-                head = event
-            elif isinstance(event, Data):
-                body.extend(event.data)
-            elif isinstance(event, EndOfMessage):
-                self._prepare_next()
-                return HttpResponse(
-                    head.status_code, bytes(body), lower_headers(head.headers)
-                )
-            elif isinstance(event, ConnectionClosed):
-                raise EOFError(f'{self._address} closed the connection')
+        if not isinstance(event, EndOfMessage):
+            raise EOFError(f'{self._address} closed inside a response')
+        self._prepare_next()
+        return HttpResponse(
+            head.status_code, bytes(body), lower_headers(head.headers)
+        )
 
     async def exchange(
         self, request: HttpRequest, timeout: Seconds
--- a/src/sesametrack/links/http_server.py
+++ b/src/sesametrack/links/http_server.py
@@ -8,6 +8,7 @@
     Task,
     create_task,
     current_task,
+    get_running_loop,
     start_server,
     wait,
     wait_for,
@@ -19,7 +20,6 @@
 from h11 import (
     DONE,
     ERROR,
-    IDLE,
     MUST_CLOSE,
     NEED_DATA,
     PAUSED,
@@ -28,6 +28,7 @@
     ConnectionClosed,
     Data,
     EndOfMessage,
+    InformationalResponse,
     LocalProtocolError,
     RemoteProtocolError,
     Request,
@@ -56,6 +57,10 @@
         super().__init__(detail)
 
 
+class _IdleError(Exception):
+    """The client has sent nothing of a further request."""
+
+
 class HttpServer:
     """Listens on one address and passes complete requests to a handler."""
 
@@ -168,6 +173,7 @@
             SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
         self._read_ahead: Task | None = None
+        self._read_until: float | None = None
 
     def close_if_idle(self) -> None:
         if not self.is_busy:
@@ -191,7 +197,7 @@
         self.is_busy = True
         body = bytearray()
         while True:
-            event = await self._next_event(self._limits.read_timeout_s)
+            event = await self._next_event()
             if isinstance(event, EndOfMessage):
                 return HttpRequest(
                     head.method.decode('ascii'),
@@ -267,29 +273,18 @@
         return bool(self._read_ahead.result())
 
     async def _read_head(self) -> Request | None:
-        timeout = self._limits.idle_timeout_s
+        self._read_until = None
         while True:
             try:
-                event = await self._next_event(timeout)
-            except TimeoutError:
-                if (
-                    self._protocol.their_state is IDLE
-                    and not (self._protocol.trailing_data[0])
-                ):
-                    return None
-                raise
-            except _RefusedError:
-                if self._protocol.trailing_data[0] or (
-                    self._protocol.their_state is not IDLE
-                ):
-                    raise
+                event = await self._next_event()
+            except _IdleError:
                 return None
             if isinstance(event, Request):
                 return event
             if isinstance(event, ConnectionClosed):
                 return None
 
-    async def _next_event(self, timeout: float) -> object:
+    async def _next_event(self) -> object:
         while True:
             try:
                 event = self._protocol.next_event()
@@ -302,21 +297,29 @@
             if event is not NEED_DATA:
                 return event
             if self._protocol.they_are_waiting_for_100_continue:
-                raise _RefusedError(
-                    417, 'Expectation failed', 'send the body at once'
-                )
-            try:
-                chunk = await self._read(timeout)
-            except TimeoutError:
-                raise _RefusedError(
-                    408, 'Request timeout', f'no data for {timeout} s'
-                ) from None
-            self._protocol.receive_data(chunk)
+                go_on = InformationalResponse(status_code=100, headers=[])
+                self._writer.write(self._protocol.send(go_on))
+            self._protocol.receive_data(await self._read())
 
-    async def _read(self, timeout: float) -> bytes:
-        if self._read_ahead is not None:
-            pending = self._read_ahead
-            chunk = await wait_for(pending, timeout)
-            self._read_ahead = None
-            return chunk
-        return await wait_for(self._reader.read(_READ_SIZE), timeout)
+    async def _read(self) -> bytes:
+        """Read a chunk; a whole request must arrive within a time."""
+        loop = get_running_loop()
+        timeout = self._limits.idle_timeout_s
+        if self._read_until is not None:
+            timeout = max(0, self._read_until - loop.time())
+        if self._read_ahead is None:
+            self._read_ahead = create_task(self._reader.read(_READ_SIZE))
+        await wait((self._read_ahead,), timeout=timeout)
+        if not self._read_ahead.done():
+            if self._read_until is None:
+                raise _IdleError
+            raise _RefusedError(
+                408,
+                'Request timeout',
+                f'not whole after {self._limits.read_timeout_s} s',
+            )
+        chunk = self._read_ahead.result()
+        self._read_ahead = None
+        if self._read_until is None:
+            self._read_until = loop.time() + self._limits.read_timeout_s
+        return chunk
--- a/src/sesametrack/programs/claimant.py
+++ b/src/sesametrack/programs/claimant.py
@@ -70,24 +70,15 @@
         claim = Claim(token_hex(16), request.fingerprint, ClaimState.claimed)
         for _ in range(_TRIES):
             try:
-                stored = await self._create_or_read(key, claim)
+                held = await self._try_claim(key, claim)
             except PlatformUnavailableError as failed:
                 # Nothing was sent to an upstream, whatever became of the
                 # write: without a claim that is known to be held, none is.
                 raise RefusalError(
                     Outcome.not_run, f'no claim: {failed}', _RETRY_AFTER
                 ) from failed
-            if stored is None:
-                continue
-            verdict = judge_claim(stored, claim.token, request.fingerprint)
-            if verdict is Verdict.take_over:
-                stored = await self._take_over(key, claim, stored)
-                if stored is None:
-                    continue
-                verdict = Verdict.run
-            if verdict is Verdict.run:
-                return stored
-            raise _refuse(verdict, stored)
+            if held is not None:
+                return held
         raise RefusalError(
             Outcome.not_run, 'the claim could not be settled', _RETRY_AFTER
         )
@@ -107,6 +98,18 @@
         task.add_done_callback(self._recording.discard)
         await wait((task,), timeout=_RECORD_WAIT)
 
+    async def _try_claim(self, key: str, claim: Claim) -> StoredClaim | None:
+        """Try once; None if it must be tried again."""
+        stored = await self._create_or_read(key, claim)
+        if stored is None:
+            return None
+        verdict = judge_claim(stored, claim.token, claim.fingerprint)
+        if verdict is Verdict.run:
+            return stored
+        if verdict is Verdict.take_over:
+            return await self._take_over(key, claim, stored)
+        raise _refuse(verdict, stored)
+
     async def _create_or_read(
         self, key: str, claim: Claim
     ) -> StoredClaim | None:
@@ -132,10 +135,6 @@
             found = await self._read(key)
             is_mine = found is not None and found.claim.token == claim.token
             return found if is_mine else None
-        except PlatformUnavailableError as failed:
-            raise RefusalError(
-                Outcome.not_run, f'no claim: {failed}', _RETRY_AFTER
-            ) from failed
         return _decode(updated)
 
     async def _read(self, key: str) -> StoredClaim | None:
--- a/src/sesametrack/programs/gate.py
+++ b/src/sesametrack/programs/gate.py
@@ -2,6 +2,7 @@
 
 from asyncio import Task, create_task, sleep
 from dataclasses import dataclass
+from functools import singledispatchmethod
 from logging import getLogger
 from time import monotonic
 
@@ -232,25 +233,29 @@
         self._node.metrics.count('gate.replies_unsent', len(messages))
 
     def _take(self, sender: MemberId, message: PeerMessage) -> None:
-        if isinstance(message, SubQuery):
-            self._offer(sender, message)
-        elif isinstance(message, Cancel):
-            self._cancel(message)
-        elif isinstance(message, HandoverRequest):
-            self._hand_over(sender, message)
-        elif isinstance(message, Suspicion):
-            self._quarantine.record_death(
-                message.fingerprint,
-                message.upstream,
-                message.in_flight,
-                monotonic(),
-            )
-        elif isinstance(message, Handover):
-            keeper = self._keeper_by_id.get(message.upstream)
-            if keeper is not None:
-                keeper.step(HandoverReceived(message))
+        self._act(message, sender)
+
+    @singledispatchmethod
+    def _act(self, message: PeerMessage, sender: MemberId) -> None:
+        """Ignore what is meant for entries, such as view reports."""
+
+    @_act.register
+    def _take_suspicion(self, message: Suspicion, sender: MemberId) -> None:
+        self._quarantine.record_death(
+            message.fingerprint,
+            message.upstream,
+            message.in_flight,
+            monotonic(),
+        )
+
+    @_act.register
+    def _take_handover(self, message: Handover, sender: MemberId) -> None:
+        keeper = self._keeper_by_id.get(message.upstream)
+        if keeper is not None:
+            keeper.step(HandoverReceived(message))
 
-    def _offer(self, sender: MemberId, sub_query: SubQuery) -> None:
+    @_act.register
+    def _offer(self, sub_query: SubQuery, sender: MemberId) -> None:
         self._node.metrics.count('gate.sub_queries')
         keeper = self._keeper_by_id.get(sub_query.upstream)
         if keeper is None:
@@ -259,12 +264,14 @@
         deadline = monotonic() + sub_query.remaining_ms / _MS
         keeper.step(Offered(sender, sub_query, deadline))
 
-    def _cancel(self, message: Cancel) -> None:
+    @_act.register
+    def _cancel(self, message: Cancel, sender: MemberId) -> None:
         keeper = self._keeper_by_id.get(message.upstream)
         if keeper is not None:
             keeper.step(Cancelled(message.id))
 
-    def _hand_over(self, sender: MemberId, request: HandoverRequest) -> None:
+    @_act.register
+    def _hand_over(self, request: HandoverRequest, sender: MemberId) -> None:
         keeper = self._keeper_by_id.get(request.upstream)
         if keeper is None:
             return
--- /dev/null
+++ b/src/sesametrack/programs/timeline_main.py
@@ -0,0 +1,6 @@
+"""Runs sesametrack-timeline as a module."""
+
+from sesametrack.programs.timeline import run
+
+if __name__ == '__main__':
+    run()
--- a/src/sesametrack/telemetry/picture.py
+++ b/src/sesametrack/telemetry/picture.py
@@ -9,6 +9,8 @@
 _LANE_HEIGHT = 28
 _LEFT = 190
 _TOP = 40
+_RIGHT = 20
+_LEAST_SPAN_S = 0.001
 _RADIUS = 4
 _COLOURS = ('#1f77b4', '#d62728', '#2ca02c', '#9467bd', '#8c564b', '#e377c2')
 
@@ -19,13 +21,7 @@
     parts = sorted({event.part for event in events})
     height = _TOP + _LANE_HEIGHT * (len(processes) + 1)
     body = [_draw_lane(row, name) for row, name in enumerate(processes)]
-    start = min((event.wall for event in events), default=0)
-    end = max((event.wall for event in events), default=1)
-    scale = (_WIDTH - _LEFT - 20) / max(end - start, 0.001)
-    for event in events:
-        row = processes.index(event.process)
-        colour = _COLOURS[parts.index(event.part) % len(_COLOURS)]
-        body.append(_draw_dot(event, row, (event.wall - start) * scale, colour))
+    body.extend(_draw_dots(events, processes, parts))
     body.extend(_draw_legend(column, part) for column, part in enumerate(parts))
     return (
         f'<svg xmlns="http://www.w3.org/2000/svg" width="{_WIDTH}" '
@@ -35,11 +31,30 @@
     )
 
 
+def _draw_dots(
+    events: list[Event], processes: list[str], parts: list[str]
+) -> list[str]:
+    if not events:
+        return []
+    start = min(event.wall for event in events)
+    end = max(event.wall for event in events)
+    scale = (_WIDTH - _LEFT - _RIGHT) / max(end - start, _LEAST_SPAN_S)
+    return [
+        _draw_dot(
+            event,
+            processes.index(event.process),
+            (event.wall - start) * scale,
+            _COLOURS[parts.index(event.part) % len(_COLOURS)],
+        )
+        for event in events
+    ]
+
+
 def _draw_lane(row: int, name: str) -> str:
     level = _TOP + _LANE_HEIGHT * (row + 1)
     return (
         f'<text x="8" y="{level + 4}">{escape(name)}</text>'
-        f'<line x1="{_LEFT}" x2="{_WIDTH - 20}" y1="{level}" y2="{level}" '
+        f'<line x1="{_LEFT}" x2="{_WIDTH - _RIGHT}" y1="{level}" y2="{level}" '
         'stroke="#ddd"/>'
     )
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -21,7 +21,6 @@
     NEED_DATA,
     SERVER,
     Connection,
-    ConnectionClosed,
     Data,
     EndOfMessage,
     RemoteProtocolError,
@@ -39,6 +38,7 @@
 _MS = 1000
 _LEAVING_GRACE_S = 3
 _KEPT_REPORTS = 4096
+_READ_SIZE = 65536
 
 
 class RunLog:
@@ -352,27 +352,29 @@
             self._protocol.start_next_cycle()
 
     async def _read_request(self) -> HttpRequest | None:
-        head: Request | None = None
+        head = await self._next_event()
+        if not isinstance(head, Request):
+            return None
         body = bytearray()
+        event = await self._next_event()
+        while isinstance(event, Data):
+            body.extend(event.data)
+            event = await self._next_event()
+        if not isinstance(event, EndOfMessage):
+            return None
+        return HttpRequest(
+            head.method.decode(),
+            head.target.decode(),
+            lower_headers(head.headers),
+            bytes(body),
+        )
+
+    async def _next_event(self) -> object:
         while True:
             event = self._protocol.next_event()
-            if event is NEED_DATA:
-                chunk = await self._reader.read(65536)
-                if self.is_silent:
-                    if not chunk:
-                        return None
-                    continue
+            if event is not NEED_DATA:
+                return event
+            chunk = await self._reader.read(_READ_SIZE)
+            # What arrives on a silent connection is lost on its way.
+            if not self.is_silent or not chunk:
                 self._protocol.receive_data(chunk)
-            elif isinstance(event, Request):
-                head = event
-            elif isinstance(event, Data):
-                body.extend(event.data)
-            elif isinstance(event, EndOfMessage):
-                return HttpRequest(
-                    head.method.decode(),
-                    head.target.decode(),
-                    lower_headers(head.headers),
-                    bytes(body),
-                )
-            elif isinstance(event, ConnectionClosed):
-                return None
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of sesametrack; `python -m tests` runs them all."""
