--- a/src/sesametrack/callers/attempts.py
+++ b/src/sesametrack/callers/attempts.py
@@ -24,6 +24,7 @@
     sent_at: Instant
     state: SubState | None = None
     reason: Reason = Reason.none
+    is_cancelled: bool = False
 
     @property
     def is_pending(self) -> bool:
--- a/src/sesametrack/callers/query.py
+++ b/src/sesametrack/callers/query.py
@@ -35,7 +35,13 @@
 from sesametrack.contracts.outcomes import Outcome, Reason
 from sesametrack.contracts.requests import QueryRequest
 from sesametrack.contracts.rules import Preference, ServiceRules
-from sesametrack.contracts.types import Instant, Milliseconds, Seconds
+from sesametrack.contracts.snapshots import Holding
+from sesametrack.contracts.types import (
+    Instant,
+    Milliseconds,
+    Seconds,
+    UpstreamId,
+)
 from sesametrack.upstreams.quarantine import Quarantine
 
 _MS: Milliseconds = 1000
@@ -144,7 +150,7 @@
         times = [self.deadline - _ANSWER_TIME]
         if self._service.rules.prefers is Preference.latency:
             target = self._started_at + self._service.rules.target
-            if target > now:
+            if target - _ANSWER_TIME > now:
                 times.append(target - _ANSWER_TIME)
         for shard in self._progress.shards:
             if shard.retry_at is not None:
@@ -304,7 +310,7 @@
         self, shard: ShardProgress, kind: SubQueryKind, now: Instant
     ) -> Replica | None:
         table = self._context.table
-        replicas = shard.plan.replicas
+        replicas = self._holders(shard)
         if not self._context.is_learned:
             usable = [
                 known for known in replicas if table.by_id[known].is_usable
@@ -318,6 +324,16 @@
             replica = table.choose(others, self._context.rng, now)
         return replica
 
+    def _holders(self, shard: ShardProgress) -> list[UpstreamId]:
+        """Return the replicas that still hold the pinned snapshot."""
+        holding = Holding(self._plan.snapshot, shard.plan.key_range)
+        by_id = self._context.table.by_id
+        return [
+            known
+            for known in shard.plan.replicas
+            if known in by_id and holding in by_id[known].holdings
+        ]
+
     def _close_attempt(
         self, sub_query_id: str, state: SubState, reason: Reason
     ) -> Attempt | None:
@@ -350,9 +366,7 @@
         shard.retry_at = None
         self._service.hedge_delay.record(now - attempt.sent_at, now)
         self._context.quarantine.record_success(self._request.fingerprint)
-        actions: list[QueryAction] = []
-        for loser in shard.pending:
-            actions.append(_cancel(loser))
+        actions = _cancel_all(shard.pending)
         if self._is_canary_stage:
             actions.extend(self._scatter(now))
         return actions
@@ -363,12 +377,12 @@
         if attempt.kind is SubQueryKind.hedge and shard.pending:
             return []
         shard.reason = attempt.reason
-        if attempt.reason is Reason.snapshot_gone:
-            return self._replace_snapshot(shard, attempt, now)
-        if attempt.reason is Reason.quarantined:
-            return []
         if attempt.may_have_run and not self._request.repeatable:
             return []
+        if attempt.reason is Reason.quarantined:
+            return []
+        if attempt.reason is Reason.snapshot_gone:
+            return self._replace_snapshot(shard, attempt, now)
         if shard.pending:
             return []
         if self._is_canary_stage:
@@ -454,7 +468,7 @@
         table = self._context.table
         table.drop_holding(attempt.upstream, self._plan.snapshot)
         others = [
-            known for known in shard.plan.replicas if known not in shard.tried
+            known for known in self._holders(shard) if known not in shard.tried
         ]
         if table.choose(others, self._context.rng, now) is not None:
             return self._send(shard, SubQueryKind.retry, now)
@@ -549,9 +563,9 @@
 
     def _cancel_pending(self) -> list[QueryAction]:
         return [
-            _cancel(attempt)
+            action
             for shard in self._progress.shards
-            for attempt in shard.pending
+            for action in _cancel_all(shard.pending)
         ]
 
     def _all_attempts(self) -> list[Attempt]:
@@ -620,5 +634,11 @@
         )
 
 
-def _cancel(attempt: Attempt) -> SendCancel:
-    return SendCancel(attempt.gate, Cancel(attempt.id, attempt.upstream))
+def _cancel_all(attempts: list[Attempt]) -> list[QueryAction]:
+    actions: list[QueryAction] = []
+    for attempt in attempts:
+        if not attempt.is_cancelled:
+            attempt.is_cancelled = True
+            cancel = Cancel(attempt.id, attempt.upstream)
+            actions.append(SendCancel(attempt.gate, cancel))
+    return actions
--- a/src/sesametrack/programs/claimant.py
+++ b/src/sesametrack/programs/claimant.py
@@ -1,6 +1,7 @@
 """Claims request ids in the platform for requests that run at most once."""
 
 from asyncio import Task, create_task, sleep, wait
+from collections.abc import Awaitable, Callable
 from logging import getLogger
 from secrets import token_hex
 
@@ -35,6 +36,8 @@
 _RETRY_AFTER: Seconds = 1
 _log = getLogger('claims')
 
+Pause = Callable[[Seconds], Awaitable[None]]
+
 
 class RecordedAnswerError(RefusalError):
     """The request ran before; its recorded answer is given again."""
@@ -48,9 +51,10 @@
 class Claimant:
     """Takes claims and records what became of them."""
 
-    def __init__(self, platform: PlatformClient) -> None:
-        """Bind the platform."""
+    def __init__(self, platform: PlatformClient, pause: Pause = sleep) -> None:
+        """Bind the platform, and how to pause between tries."""
         self._platform = platform
+        self._pause = pause
         self._recording: set[Task] = set()
 
     async def close(self) -> None:
@@ -150,7 +154,7 @@
                 # after that; nothing else writes a claim that is held.
                 return
             except (PlatformLostReplyError, PlatformUnavailableError):
-                await sleep(_RECORD_PAUSE)
+                await self._pause(_RECORD_PAUSE)
                 continue
             return
         _log.error('the outcome of %s was not recorded', key)
--- /dev/null
+++ b/tests/test_changes.py
@@ -0,0 +1,152 @@
+"""Operators' changes under races, lost replies and delayed writes."""
+
+from asyncio import run
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from msgspec.json import decode
+from msgspec.structs import replace
+from testtools import TestCase
+
+from sesametrack.configuration.parts import (
+    HEAD_KEY,
+    Head,
+    cut_parts,
+    digest_part,
+    make_head,
+)
+from sesametrack.configuration.replica import ConfigurationReplica
+from sesametrack.contracts.exceptions import (
+    InputError,
+    PlatformError,
+    RulesError,
+)
+from sesametrack.contracts.rules import Rules
+from sesametrack.programs.changes import (
+    ChangeReport,
+    ConfigurationStore,
+    WriteState,
+)
+from tests.builders import make_inventory_model
+from tests.fakes import FakePlatform
+
+_FAULTS = st.sampled_from(['', '', '', 'down', 'lost', 'delayed', 'lands'])
+_MODEL = make_inventory_model()
+
+
+class ChangesTest(TestCase):
+    """What `apply` and `resolve` say is true."""
+
+    @settings(max_examples=150)
+    @given(draw=st.data())
+    def test_reports_are_true(self, draw: st.DataObject) -> None:
+        """'applied' was applied; 'not-applied' and 'conflict' never are."""
+        platform = FakePlatform(lambda call: draw.draw(_FAULTS))
+        store = ConfigurationStore(platform)
+        said: dict[str, WriteState] = {}
+        for number, domains in enumerate((['north'], [], ['south'], [])):
+            is_raced = draw.draw(st.booleans())
+            rules = Rules(failure_domains_out=domains)
+            try:
+                report = _change(store, rules, f'change-{number}', is_raced)
+            except PlatformError:
+                continue
+            said[report.change_id] = report.state
+        platform.land()
+        made = _changes_made(platform)
+        for name, state in said.items():
+            if state is WriteState.applied:
+                self.assertIn(name, made)
+            elif state is not WriteState.unknown:
+                self.assertNotIn(name, made)
+
+    def test_conflict_writes_nothing(self) -> None:
+        """Of two operators on one revision, one is told of the other."""
+        platform = FakePlatform()
+        store = ConfigurationStore(platform)
+        run(store.apply(_MODEL, Rules(), None))
+        based_on = run(store.read())
+        run(store.apply(_MODEL, Rules(vms_out=['a']), based_on, 'first'))
+        report = run(store.apply(_MODEL, Rules(vms_out=['b']), based_on))
+        self.assertEqual(WriteState.conflict, report.state)
+        self.assertEqual(['a'], run(store.read()).rules.vms_out)
+
+    def test_refused_rules_write_nothing(self) -> None:
+        """A rule for an unknown failure domain never reaches the platform."""
+        platform = FakePlatform()
+        store = ConfigurationStore(platform)
+        rules = Rules(failure_domains_out=['nowhere'])
+        self.assertRaises(
+            RulesError, lambda: run(store.apply(_MODEL, rules, None))
+        )
+        self.assertEqual({}, platform.object_by_key)
+
+
+class ReplicaTest(TestCase):
+    """A replica moves to higher revisions only."""
+
+    @settings(max_examples=60)
+    @given(order=st.permutations([1, 2, 3, 4, 5]))
+    def test_monotone(self, order: list[int]) -> None:
+        """Replayed and reordered revisions never take it back."""
+        heads = _make_history(5)
+        replica = ConfigurationReplica()
+        highest = 0
+        for revision in order * 2:
+            head, parts = heads[revision - 1]
+            replica.accept(head, parts)
+            highest = max(highest, revision)
+            self.assertEqual(highest, replica.revision)
+
+    def test_damaged_part_changes_nothing(self) -> None:
+        """A part that is not what its digest names is refused."""
+        (head, parts), (newer, more) = _make_history(2)
+        replica = ConfigurationReplica()
+        replica.accept(head, parts)
+        digest = newer.digest_by_part['rules']
+        damaged = {**more, digest: b'{}'}
+        self.assertRaises(InputError, replica.accept, newer, damaged)
+        self.assertEqual(1, replica.revision)
+
+    def test_parts_stay_small_at_the_target(self) -> None:
+        """1,300 searchers of a domain fit into one object."""
+        searcher = _MODEL.searchers[0]
+        many = [
+            replace(
+                searcher,
+                id=f'searcher-of-some-service-{number:05}',
+                address=f'10.20.{number // 250}.{number % 250}:20001',
+            )
+            for number in range(1300)
+        ]
+        parts = cut_parts(replace(_MODEL, searchers=many), Rules())
+        self.assertLess(max(len(part) for part in parts.values()), 1_000_000)
+
+
+def _change(
+    store: ConfigurationStore, rules: Rules, name: str, is_raced: bool
+) -> ChangeReport:
+    based_on = run(store.read())
+    if is_raced:
+        run(store.apply(_MODEL, Rules(), based_on, f'{name}-raced'))
+    return run(store.apply(_MODEL, rules, based_on, name))
+
+
+def _make_history(length: int) -> list[tuple[Head, dict[str, bytes]]]:
+    history = []
+    head = None
+    for number in range(length):
+        rules = Rules(vms_out=[f'vm-{number}'])
+        parts = cut_parts(_MODEL, rules)
+        head = make_head(head, f'change-{number}', parts)
+        by_digest = {digest_part(part): part for part in parts.values()}
+        history.append((head, by_digest))
+    return history
+
+
+def _changes_made(platform: FakePlatform) -> list[str]:
+    stored = platform.object_by_key.get(HEAD_KEY)
+    if stored is None:
+        return []
+    head = decode(stored.text, type=Head)
+    return [head.change_id, *head.history]
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,335 @@
+"""Properties of a gate's policy for one upstream."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from sesametrack.contracts.messages import SubQuery, SubQueryKind, SubState
+from sesametrack.contracts.outcomes import Reason
+from sesametrack.contracts.snapshots import Holding
+from sesametrack.upstreams.actions import (
+    CloseConnection,
+    OpenConnection,
+    ProbeConnection,
+    RaiseSuspicion,
+    SendReply,
+    SendRequest,
+    UpstreamAction,
+)
+from sesametrack.upstreams.events import (
+    Cancelled,
+    ConnectionEnded,
+    ConnectionOpened,
+    DomainChanged,
+    LoadReported,
+    Offered,
+    ProbeAnswered,
+    Responded,
+    Response,
+    ResponseKind,
+    Stopping,
+    Ticked,
+    UpstreamEvent,
+)
+from sesametrack.upstreams.policy import UpstreamPolicy
+from sesametrack.upstreams.quarantine import Quarantine
+from tests.builders import SNAPSHOT, WHOLE, make_sub_query, make_upstream
+
+_HOLDINGS = [Holding(SNAPSHOT, WHOLE)]
+
+
+class UpstreamWorld:
+    """A policy with an upstream that a test plays."""
+
+    policy_class = UpstreamPolicy
+
+    def __init__(self, slots: int = 2, connections: int = 25) -> None:
+        """Start the policy; open its connections."""
+        self.now = 100.0
+        self.upstream = make_upstream(slots, connections)
+        self.quarantine = Quarantine()
+        self.policy = self.policy_class(
+            self.upstream, self.quarantine, self.now
+        )
+        self.opening: list[int] = []
+        self.open: set[int] = set()
+        self.probed: list[int] = []
+        self.running: dict[int, SubQuery] = {}
+        self.sent: list[str] = []
+        self.replies: dict[str, list] = {}
+        self.offered: list[str] = []
+        self.suspicions: list[RaiseSuspicion] = []
+        self.answers_probes = True
+        self.step(LoadReported(0, False, False, _HOLDINGS))
+        self.step(Ticked())
+        self.open_all()
+
+    def step(self, event: UpstreamEvent) -> None:
+        """Give the policy an event and take its actions."""
+        for action in self.policy.handle(event, self.now):
+            self.take(action)
+
+    def take(self, action: UpstreamAction) -> None:
+        """Play an action."""
+        if isinstance(action, OpenConnection):
+            self.opening.append(action.connection)
+        elif isinstance(action, CloseConnection):
+            self.drop(action.connection)
+        elif isinstance(action, ProbeConnection):
+            self.probed.append(action.connection)
+        elif isinstance(action, SendRequest):
+            assert action.connection in self.open, 'connection is not open'
+            assert action.connection not in self.running, 'busy connection'
+            self.running[action.connection] = action.sub_query
+            self.sent.append(action.sub_query.id)
+        elif isinstance(action, SendReply):
+            self.replies.setdefault(action.reply.id, []).append(action.reply)
+        elif isinstance(action, RaiseSuspicion):
+            self.suspicions.append(action)
+
+    def drop(self, number: int) -> None:
+        """Forget a connection."""
+        self.open.discard(number)
+        self.running.pop(number, None)
+        if number in self.opening:
+            self.opening.remove(number)
+        if number in self.probed:
+            self.probed.remove(number)
+
+    def open_all(self) -> None:
+        """Let all connections that are being opened open."""
+        while self.opening:
+            number = self.opening.pop()
+            self.open.add(number)
+            self.step(ConnectionOpened(number))
+
+    def offer(
+        self,
+        number: int,
+        kind: SubQueryKind = SubQueryKind.primary,
+        allowed: float = 1,
+    ) -> None:
+        """Offer a sub-query."""
+        sub_query = make_sub_query(number, kind)
+        self.offered.append(sub_query.id)
+        self.step(Offered('vm/entry', sub_query, self.now + allowed))
+
+    def respond(
+        self, number: int, kind: ResponseKind = ResponseKind.answered
+    ) -> None:
+        """Let the upstream respond on a connection."""
+        self.running.pop(number)
+        self.step(Responded(number, Response(kind, b'[]', SNAPSHOT)))
+
+    def die(self, number: int) -> None:
+        """Let a connection die."""
+        self.drop(number)
+        self.step(ConnectionEnded(number))
+
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass with ticks."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now = min(end, self.now + 0.05)
+            self.tick()
+
+    def tick(self) -> None:
+        """Let the policy see the time; probes are answered if possible."""
+        self.step(Ticked())
+        while self.answers_probes and self.probed:
+            self.step(ProbeAnswered(self.probed.pop()))
+
+    def warm_up(self, requests: int = 40) -> None:
+        """Answer requests until the window is wide."""
+        for number in range(requests):
+            self.offer(100_000 + number)
+            self.now += 0.05
+            for connection in list(self.running):
+                self.respond(connection)
+            self.tick()
+
+
+def play(world: UpstreamWorld, draw: st.DataObject, steps: int) -> None:
+    """Play random events; limits are checked after each."""
+    for number in range(steps):
+        choice = draw.draw(st.integers(0, 12))
+        world.answers_probes = choice % 2 == 0
+        if choice <= 3:
+            kind = draw.draw(st.sampled_from(list(SubQueryKind)))
+            world.offer(number, kind, draw.draw(st.floats(0.001, 0.5)))
+        elif choice <= 6 and world.running:
+            connection = draw.draw(st.sampled_from(sorted(world.running)))
+            kind = draw.draw(st.sampled_from(list(ResponseKind)))
+            world.respond(connection, kind)
+        elif choice == 7 and world.open:
+            world.die(draw.draw(st.sampled_from(sorted(world.open))))
+        elif choice == 8:
+            world.pass_time(draw.draw(st.floats(0.01, 0.7)))
+        elif choice == 9:
+            world.open_all()
+        elif choice == 10 and world.probed:
+            connection = world.probed.pop()
+            world.step(ProbeAnswered(connection))
+        elif choice == 11 and world.offered:
+            world.step(Cancelled(draw.draw(st.sampled_from(world.offered))))
+        else:
+            _play_report(world, draw)
+        check_limits(world)
+
+
+def _play_report(world: UpstreamWorld, draw: st.DataObject) -> None:
+    in_flight = draw.draw(st.integers(0, 5))
+    world.step(
+        LoadReported(in_flight, draw.draw(st.booleans()), False, _HOLDINGS)
+    )
+    world.step(DomainChanged(draw.draw(st.booleans())))
+
+
+def check_limits(world: UpstreamWorld) -> None:
+    """Check the limits of the inventory as the upstream would see them."""
+    limit = world.upstream.connections // 2
+    assert len(world.running) <= world.upstream.slots, 'slots exceeded'
+    assert len(world.open) + len(world.opening) <= limit, 'connections'
+    assert world.policy.in_flight <= world.policy.window_size
+
+
+class PolicyProperties(TestCase):
+    """What holds over every interleaving."""
+
+    world_class = UpstreamWorld
+
+    @settings(max_examples=150)
+    @given(draw=st.data(), slots=st.integers(1, 6))
+    def test_limits_and_replies(self, draw: st.DataObject, slots: int) -> None:
+        """Limits hold; each offer gets one reply; 'not run' is true."""
+        world = self.world_class(slots, max(6, slots))
+        play(world, draw, 60)
+        for connection in list(world.running):
+            world.respond(connection)
+        world.step(Stopping())
+        world.pass_time(3)
+        for connection in list(world.running):
+            world.die(connection)
+        for sub_query_id in set(world.offered):
+            replies = world.replies[sub_query_id]
+            self.assertEqual(1, len(replies))
+            if sub_query_id in world.sent:
+                is_refused = replies[0].state is SubState.not_run
+                shed = {Reason.shed, Reason.draining, Reason.snapshot_gone}
+                # The upstream itself said that it did not run these.
+                self.assertTrue(not is_refused or replies[0].reason in shed)
+
+
+class PolicyTest(TestCase):
+    """Focused failures."""
+
+    def test_new_gate_starts_with_one_request(self) -> None:
+        """Without a handover nothing is known, so one is the limit."""
+        world = UpstreamWorld()
+        world.offer(1)
+        world.offer(2)
+        self.assertEqual(1, len(world.running))
+
+    def test_window_grows_and_falls(self) -> None:
+        """Success widens the window; shedding narrows it to one."""
+        world = UpstreamWorld()
+        world.warm_up()
+        self.assertEqual(2, world.policy.window_size)
+        world.offer(1)
+        world.respond(next(iter(world.running)), ResponseKind.shed)
+        self.assertEqual(1, world.policy.window_size)
+
+    def test_two_slow_answers_narrow_the_window(self) -> None:
+        """An upstream turned cold without warning shows in its replies."""
+        world = UpstreamWorld()
+        world.warm_up()
+        for number in range(2):
+            world.offer(number)
+            world.pass_time(0.3)
+            world.respond(next(iter(world.running)))
+        self.assertEqual(1, world.policy.window_size)
+
+    def test_reports_only_lower(self) -> None:
+        """A report of an idle, warm upstream does not widen the window."""
+        world = UpstreamWorld()
+        for _ in range(50):
+            world.pass_time(0.1)
+            world.step(LoadReported(0, False, False, _HOLDINGS))
+        self.assertEqual(1, world.policy.window_size)
+
+    def test_foreign_work_is_subtracted(self) -> None:
+        """Another gate's requests take slots of the upstream."""
+        world = UpstreamWorld()
+        world.warm_up()
+        world.pass_time(2)
+        world.step(LoadReported(1, False, False, _HOLDINGS))
+        world.offer(1)
+        world.offer(2)
+        self.assertEqual(1, len(world.running))
+
+    def test_late_queued_work_is_refused_as_not_run(self) -> None:
+        """What can no longer finish is dropped from the queue."""
+        world = UpstreamWorld()
+        world.warm_up()
+        for number in range(3):
+            world.offer(number, allowed=0.2)
+        world.pass_time(0.3)
+        reply = world.replies['q2'][0]
+        self.assertEqual(SubState.not_run, reply.state)
+        self.assertEqual(Reason.deadline, reply.reason)
+
+    def test_silent_connections_are_replaced(self) -> None:
+        """A reply overdue makes idle connections suspect, then closed."""
+        world = UpstreamWorld()
+        world.warm_up()
+        silent = set(world.open)
+        world.answers_probes = False
+        world.offer(1, allowed=5)
+        world.pass_time(1.5)
+        self.assertEqual(set(), silent & world.open)
+        self.assertEqual(SubState.unknown, world.replies['q1'][0].state)
+        world.open_all()
+        world.offer(2)
+        self.assertEqual(['q2'], [sent.id for sent in world.running.values()])
+
+    def test_hedge_is_refused_without_an_idle_slot(self) -> None:
+        """A hedge must not queue behind other work."""
+        world = UpstreamWorld()
+        world.offer(1)
+        world.offer(2, SubQueryKind.hedge)
+        self.assertEqual(Reason.no_idle_slot, world.replies['q2'][0].reason)
+
+    def test_canary_runs_alone(self) -> None:
+        """Nothing runs beside a canary."""
+        world = UpstreamWorld()
+        world.warm_up()
+        world.offer(1, SubQueryKind.canary)
+        world.offer(2)
+        self.assertEqual(['q1'], [sent.id for sent in world.running.values()])
+
+    def test_one_crash_with_two_in_flight_convicts_neither(self) -> None:
+        """Both are suspect, and each is told with two in flight."""
+        world = UpstreamWorld()
+        world.warm_up()
+        world.offer(1)
+        world.offer(2)
+        for connection in list(world.running):
+            world.die(connection)
+        self.assertEqual(
+            [2, 2], [raised.in_flight for raised in world.suspicions]
+        )
+        for name in ('f1', 'f2'):
+            self.assertTrue(world.quarantine.is_suspect(name, world.now))
+            self.assertFalse(world.quarantine.is_convicted(name, world.now))
+
+    def test_domain_out_refuses_only_what_waits(self) -> None:
+        """No new work, and nothing is cut."""
+        world = UpstreamWorld()
+        world.offer(1)
+        world.offer(2)
+        world.step(DomainChanged(is_out=True))
+        self.assertEqual(
+            Reason.failure_domain_out, world.replies['q2'][0].reason
+        )
+        world.respond(next(iter(world.running)))
+        self.assertEqual(SubState.answered, world.replies['q1'][0].state)
