Let gates join before they own, and notice stalled links within 200 ms

Cause: a restarted gate that had met nobody took every upstream for a moment; a silently cut domain held each query to its deadline until heartbeats failed; an upstream turned cold fell over, since its slow replies moved the mean that they were judged by.

--- a/bench/figures.py
+++ b/bench/figures.py
@@ -108,6 +108,7 @@
         if runs > 1
     ) + _count_split_actions(reports)
     figures.notes = {
+        **_count_missing(results),
         'fell_over': totals.fell_over,
         'crashes': totals.crashes,
         'poisoned': totals.poisoned,
@@ -177,6 +178,15 @@
     return sum(1 for processes in runs.values() if processes > 1)
 
 
+def _count_missing(results: list[Result]) -> dict[str, int]:
+    missing: dict[str, int] = {}
+    for result in results:
+        for shard in result.content.get('coverage', {}).get('missing', ()):
+            name = f'missing_{shard["reason"]}'
+            missing[name] = missing.get(name, 0) + 1
+    return missing
+
+
 def _fill_latency(figures: Figures, ran: list[Result]) -> None:
     histogram = HdrHistogram(1, _MAX_US, 3)
     for result in ran:
--- a/src/sesametrack/callers/events.py
+++ b/src/sesametrack/callers/events.py
@@ -33,6 +33,13 @@
     gate: MemberId
 
 
+@dataclass(frozen=True, slots=True)
+class GateStalled:
+    """A gate owes a sign of life; what was sent to it may never return."""
+
+    gate: MemberId
+
+
 @dataclass(frozen=True, slots=True)
 class TimeReached:
     """The wake-up time of the query was reached."""
@@ -44,7 +51,13 @@
 
 
 QueryEvent = (
-    Started | ReplyArrived | NeverSent | LinkLost | TimeReached | CallerLeft
+    Started
+    | ReplyArrived
+    | NeverSent
+    | LinkLost
+    | GateStalled
+    | TimeReached
+    | CallerLeft
 )
 
 
--- a/src/sesametrack/callers/query.py
+++ b/src/sesametrack/callers/query.py
@@ -12,6 +12,7 @@
 from sesametrack.callers.events import (
     CallerLeft,
     DeliverAnswer,
+    GateStalled,
     LinkLost,
     NeverSent,
     QueryAction,
@@ -214,6 +215,24 @@
                     actions.extend(self._recover(shard, attempt, now))
         return actions
 
+    @_apply.register
+    def _pass_stalled(
+        self, event: GateStalled, now: Instant
+    ) -> list[QueryAction]:
+        """Ask another replica beside a stalled gate, at no budget.
+
+        The stalled attempt stays pending: its reply is used if it comes.
+        """
+        if not self._request.repeatable or self._is_canary_stage:
+            return []
+        actions: list[QueryAction] = []
+        for shard in self._progress.shards:
+            waiting_at = {attempt.gate for attempt in shard.pending}
+            if not shard.is_answered and waiting_at == {event.gate}:
+                if not set(shard.plan.replicas) <= shard.tried:
+                    actions.extend(self._send(shard, SubQueryKind.retry, now))
+        return actions
+
     @_apply.register
     def _wake(self, event: TimeReached, now: Instant) -> list[QueryAction]:
         actions: list[QueryAction] = []
--- a/src/sesametrack/callers/replicas.py
+++ b/src/sesametrack/callers/replicas.py
@@ -39,6 +39,7 @@
     gate: Member | None = None
     is_gate_linked: bool = False
     is_domain_out: bool = False
+    is_gate_stalled: bool = False
     is_accepting: bool = False
     expected_wait_ms: Milliseconds = 0
     service_ms: Milliseconds = _DEFAULT_SERVICE_MS
@@ -52,7 +53,10 @@
     def is_usable(self) -> bool:
         """Tell whether new work may be sent."""
         return (
-            self.is_accepting and self.is_gate_linked and not self.is_domain_out
+            self.is_accepting
+            and self.is_gate_linked
+            and not self.is_gate_stalled
+            and not self.is_domain_out
         )
 
     def wait_ms(self, now: Instant) -> Milliseconds:
@@ -136,6 +140,13 @@
             replica.is_gate_linked = gate is not None and gate.id in linked_ids
         self._plan_by_service.clear()
 
+    def mark_stalled(self, gates: set[MemberId]) -> None:
+        """Use no replica behind a stalled gate until it is heard again."""
+        for replica in self.by_id.values():
+            gate = replica.gate
+            replica.is_gate_stalled = gate is not None and gate.id in gates
+        self._plan_by_service.clear()
+
     def update_view(
         self, view: UpstreamView, gate: MemberId, now: Instant
     ) -> None:
--- a/src/sesametrack/contracts/members.py
+++ b/src/sesametrack/contracts/members.py
@@ -21,8 +21,13 @@
 
 
 class MemberState(Enum):
-    """What the membership believes of a member."""
+    """What the membership believes of a member.
 
+    A joining member takes part in gossip but gets no work yet: it does not
+    know the others well enough to know what it owns.
+    """
+
+    joining = 'joining'
     alive = 'alive'
     suspect = 'suspect'
     leaving = 'leaving'
--- a/src/sesametrack/links/peers.py
+++ b/src/sesametrack/links/peers.py
@@ -22,6 +22,10 @@
 
 HEARTBEAT: Seconds = 0.4
 _HEARTBEATS_TO_LOSS = 3
+# A peer that owes a sign of life is asked for one after the first time, and
+# is stalled after the second.
+_PING_AFTER: Seconds = 0.06
+_STALLED_AFTER: Seconds = 0.2
 _SEND_BUFFER_FRAMES = 256
 _MAX_FRAME_BYTES = 64 * 1024 * 1024
 _MAX_MESSAGES = 256
@@ -94,6 +98,11 @@
         """Answer a heartbeat at once, also on a link that is not up yet."""
         self._push([pong])
 
+    def ping(self) -> None:
+        """Ask for a sign of life out of turn."""
+        self._sequence += 1
+        self._push([Ping(self._sequence)])
+
     def take_pong(self, pong: Pong) -> None:
         """Note that the peer answered a heartbeat."""
         if pong.session != self._session:
@@ -161,8 +170,7 @@
             if self._unanswered > _HEARTBEATS_TO_LOSS:
                 self._lose(self._session)
                 continue
-            self._sequence += 1
-            self._push([Ping(self._sequence)])
+            self.ping()
 
 
 class PeerInbox:
@@ -286,6 +294,7 @@
         self._on_unsent = on_unsent
         self._inbox = PeerInbox(me.peer, self._take_hello, self._take)
         self._link_by_peer: dict[MemberId, PeerLink] = {}
+        self._unheard_since: dict[MemberId, float] = {}
 
     async def start(self) -> None:
         """Listen for peers."""
@@ -314,6 +323,7 @@
     def disconnect(self, peer: MemberId) -> None:
         """Give up the link to a peer."""
         link = self._link_by_peer.pop(peer, None)
+        self._unheard_since.pop(peer, None)
         if link is not None:
             link.close()
             self._on_link_change(peer)
@@ -324,8 +334,27 @@
         if link is None:
             self._on_unsent(peer, [message])
             return
+        self._unheard_since.setdefault(peer, get_running_loop().time())
         link.send(message)
 
+    def find_stalled(self) -> set[MemberId]:
+        """Return peers that owe a sign of life; pings those that may.
+
+        A peer owes one from when something was sent after it was last
+        heard of.
+        """
+        now = get_running_loop().time()
+        stalled = set()
+        for peer, since in self._unheard_since.items():
+            link = self._link_by_peer.get(peer)
+            if link is None or not link.is_up:
+                continue
+            if now - since > _PING_AFTER:
+                link.ping()
+            if now - since > _STALLED_AFTER:
+                stalled.add(peer)
+        return stalled
+
     def broadcast(self, message: PeerMessage) -> None:
         """Send a message on all links that are up."""
         for link in self._link_by_peer.values():
@@ -352,6 +381,7 @@
         self, member: MemberId, session: str, message: PeerMessage
     ) -> None:
         link = self._link_by_peer.get(member)
+        self._unheard_since.pop(member, None)
         if isinstance(message, Ping):
             if link is not None:
                 link.answer(Pong(session, message.sequence))
--- a/src/sesametrack/programs/entry.py
+++ b/src/sesametrack/programs/entry.py
@@ -21,6 +21,7 @@
 from sesametrack.callers.events import (
     CallerLeft,
     DeliverAnswer,
+    GateStalled,
     LinkLost,
     NeverSent,
     QueryAction,
@@ -64,10 +65,11 @@
 from sesametrack.programs.node import Node, NodeHandlers
 from sesametrack.upstreams.quarantine import Quarantine
 
-_HEDGE_PERCENTILE = 95
+_HEDGE_PERCENTILE = 97
 _FIRST_HEDGE_DELAY: Seconds = 0.05
 _RETRY_AFTER: Seconds = 1
 _NOTICE_INTERVAL: Seconds = 1
+_STALL_CHECK_INTERVAL: Seconds = 0.03
 _MAX_NOTICES = 8
 _MS = 1000
 
@@ -119,7 +121,10 @@
             )
         )
         await self._server.start()
-        self._tasks = [create_task(self._run_notices())]
+        self._tasks = [
+            create_task(self._run_notices()),
+            create_task(self._run_stall_checks()),
+        ]
         self._node.install_signals()
 
     async def serve(self) -> None:
@@ -283,6 +288,7 @@
         self._place_replicas()
         if not self._hub.is_up(peer):
             self._node.events.record('link', 'lost', peer=peer)
+            self._node.doubt_peer(peer)
             for runner in list(self._runners):
                 runner.step(LinkLost(peer))
 
@@ -331,6 +337,20 @@
             self._tell_notices(is_urgent=False)
             await sleep(_NOTICE_INTERVAL)
 
+    async def _run_stall_checks(self) -> None:
+        stalled: set[MemberId] = set()
+        while True:
+            await sleep(_STALL_CHECK_INTERVAL)
+            found = self._hub.find_stalled()
+            if found == stalled:
+                continue
+            self._context.table.mark_stalled(found)
+            for gate in found - stalled:
+                self._node.events.record('link', 'stalled', peer=gate)
+                for runner in list(self._runners):
+                    runner.step(GateStalled(gate))
+            stalled = found
+
     def _describe(self) -> object:
         return {
             'admission': self._admission.describe(),
--- a/src/sesametrack/programs/gate.py
+++ b/src/sesametrack/programs/gate.py
@@ -1,7 +1,6 @@
 """The gate daemon: the one process that talks to its upstreams."""
 
 from asyncio import Task, create_task, sleep
-from dataclasses import dataclass
 from functools import singledispatchmethod
 from logging import getLogger
 from time import monotonic
@@ -41,6 +40,7 @@
     PlatformReported,
     Stopping,
 )
+from sesametrack.upstreams.latency import ServiceReferences
 from sesametrack.upstreams.quarantine import Quarantine
 
 _TICK: Seconds = 0.02
@@ -50,18 +50,13 @@
 # A gate that lost an upstream serves it for this long unless the new gate
 # asks for it before.
 _KEEP_AFTER_LOSS: Seconds = 1.5
+# An upstream that was handed over is not taken back within this time.
+_HANDED_OVER_TIME: Seconds = 2
 _MAX_NOTICES = 8
 _MS = 1000
 _log = getLogger('gate')
 
 
-@dataclass(slots=True)
-class _Lost:
-    """An upstream that another gate owns now."""
-
-    since: Instant
-
-
 class Gate:
     """Owns keepers for the upstreams that placement gives to it."""
 
@@ -74,11 +69,14 @@
             self._node.me, self._take, self._link_changed, self._drop_unsent
         )
         self._quarantine = Quarantine()
+        self._references = ServiceReferences()
         self._inventory: Inventory | None = None
         self._placement: Placement | None = None
         self._domains_out: frozenset[str] = frozenset()
         self._keeper_by_id: dict[UpstreamId, UpstreamKeeper] = {}
-        self._lost_by_id: dict[UpstreamId, _Lost] = {}
+        self._former: Placement | None = None
+        self._lost_since_by_id: dict[UpstreamId, Instant] = {}
+        self._handed_over_by_id: dict[UpstreamId, Instant] = {}
         self._tasks: list[Task] = []
 
     async def start(self) -> None:
@@ -138,23 +136,41 @@
         if self._inventory is None:
             return
         members = self._node.members()
-        former = self._placement
+        self._former = self._placement or self._former
         self._placement = Placement(self._inventory, members)
         self._connect_near_gates(members)
+        self._reconcile()
+
+    def _reconcile(self) -> None:
+        """Adopt what placement gives to this gate, and note what it lost.
+
+        Runs after each change and from time to time, so that an upstream
+        that was handed over to a gate which then vanished comes back.
+        """
+        if self._placement is None:
+            return
+        now = monotonic()
         owned = self._placement.owned_by(self._node.me.id)
         for upstream_id in sorted(owned):
-            upstream = self._inventory.upstream_by_id[upstream_id]
-            keeper = self._keeper_by_id.get(upstream_id)
-            if keeper is not None and keeper.policy.upstream != upstream:
-                self._drop(upstream_id)
-                keeper = None
-            if keeper is None or keeper.policy.health.is_gate_stopping:
-                self._adopt(upstream, former)
-            self._lost_by_id.pop(upstream_id, None)
-        now = monotonic()
+            self._keep(self._inventory.upstream_by_id[upstream_id], now)
         for kept in self._keeper_by_id:
             if kept not in owned:
-                self._lost_by_id.setdefault(kept, _Lost(now))
+                self._lost_since_by_id.setdefault(kept, now)
+
+    def _keep(self, upstream: Upstream, now: Instant) -> None:
+        handed_over_at = self._handed_over_by_id.get(upstream.id)
+        if handed_over_at is not None:
+            if now - handed_over_at < _HANDED_OVER_TIME:
+                return
+            self._handed_over_by_id.pop(upstream.id)
+        keeper = self._keeper_by_id.get(upstream.id)
+        is_stopping = keeper and keeper.policy.health.is_gate_stopping
+        if keeper and keeper.policy.upstream == upstream and not is_stopping:
+            self._lost_since_by_id.pop(upstream.id, None)
+            return
+        if not self._node.lifecycle.is_draining:
+            self._lost_since_by_id.pop(upstream.id, None)
+            self._adopt(upstream)
 
     def _connect_near_gates(self, members: list[Member]) -> None:
         for member in members:
@@ -167,10 +183,10 @@
             if peer not in known:
                 self._hub.disconnect(peer)
 
-    def _adopt(self, upstream: Upstream, former: Placement | None) -> None:
+    def _adopt(self, upstream: Upstream) -> None:
         self._drop(upstream.id)
         now = monotonic()
-        owner = former.gate_of(upstream.id) if former else None
+        owner = self._former.gate_of(upstream.id) if self._former else None
         is_elsewhere = owner is not None and owner.id != self._node.me.id
         handover_due = now + _HANDOVER_TIME if is_elsewhere else 0
         keeper = UpstreamKeeper(
@@ -180,6 +196,7 @@
             self._hub,
             is_learned=self._is_learned,
             handover_due=handover_due,
+            references=self._references,
         )
         self._keeper_by_id[upstream.id] = keeper
         keeper.start()
@@ -221,6 +238,7 @@
 
     def _link_changed(self, peer: MemberId) -> None:
         if not self._hub.is_up(peer):
+            self._node.doubt_peer(peer)
             return
         now = monotonic()
         views = [
@@ -278,7 +296,9 @@
         self._hub.connect(request.member, request.reply_to)
         keeper.step(Stopping())
         self._hub.send(request.member, keeper.policy.make_handover())
-        self._lost_by_id.setdefault(request.upstream, _Lost(monotonic()))
+        now = monotonic()
+        self._handed_over_by_id[request.upstream] = now
+        self._lost_since_by_id.setdefault(request.upstream, now)
         self._node.events.record(
             'gate', 'handed_over', upstream=request.upstream, to=sender
         )
@@ -292,18 +312,18 @@
             await sleep(_TICK)
 
     def _drop_lost(self, now: Instant) -> None:
-        for upstream_id, lost in list(self._lost_by_id.items()):
+        for upstream_id, since in list(self._lost_since_by_id.items()):
             keeper = self._keeper_by_id.get(upstream_id)
             if keeper is None:
-                self._lost_by_id.pop(upstream_id)
+                self._lost_since_by_id.pop(upstream_id)
                 continue
-            is_late = now - lost.since > _KEEP_AFTER_LOSS
+            is_late = now - since > _KEEP_AFTER_LOSS
             if is_late and not keeper.policy.health.is_gate_stopping:
                 keeper.step(Stopping())
-            if keeper.policy.health.is_gate_stopping:
-                if not keeper.policy.in_flight:
-                    self._lost_by_id.pop(upstream_id)
-                    self._drop(upstream_id)
+            is_stopping = keeper.policy.health.is_gate_stopping
+            if is_stopping and not keeper.policy.in_flight:
+                self._lost_since_by_id.pop(upstream_id)
+                self._drop(upstream_id)
 
     async def _run_polls(self) -> None:
         elapsed = 0.0
@@ -314,6 +334,7 @@
             elapsed += _LOAD_INTERVAL
             if elapsed >= _NOTICE_INTERVAL:
                 elapsed = 0
+                self._reconcile()
                 self._tell_notices(is_urgent=False)
 
     def _describe(self) -> object:
--- a/src/sesametrack/programs/keeper.py
+++ b/src/sesametrack/programs/keeper.py
@@ -25,6 +25,7 @@
     UpstreamAction,
 )
 from sesametrack.upstreams.events import Ticked, UpstreamEvent
+from sesametrack.upstreams.latency import ServiceReferences
 from sesametrack.upstreams.policy import UpstreamPolicy
 from sesametrack.upstreams.quarantine import Quarantine
 
@@ -41,6 +42,7 @@
         *,
         is_learned: bool,
         handover_due: Instant,
+        references: ServiceReferences,
     ) -> None:
         """Bind the parts; `start` opens connections."""
         self._node = node
@@ -51,6 +53,7 @@
             monotonic(),
             is_learned=is_learned,
             handover_due=handover_due,
+            references=references,
         )
         self._control = UpstreamControl(upstream.address, self.step)
         self._connection_by_number: dict[int, UpstreamConnection] = {}
--- a/src/sesametrack/programs/node.py
+++ b/src/sesametrack/programs/node.py
@@ -26,12 +26,14 @@
 from sesametrack.vms.events import (
     AddressesLearned,
     GossipReceived,
+    JoinFinished,
     LeaveRequested,
     MembershipAction,
     MembershipEvent,
     MembersChanged,
     NoticesChanged,
     NoticesSeen,
+    PeerUnheard,
     SendGossip,
     Ticked,
     VersionsChanged,
@@ -41,6 +43,10 @@
 from sesametrack.vms.membership import Membership
 
 _TICK: Seconds = 0.05
+# A daemon listens for this long before it counts as a member that gets work,
+# so that it does not take upstreams whose owners it has not met yet.
+_JOIN_TIME: Seconds = 1
+_JOIN_ALONE_TIME: Seconds = 3
 _VM_LIST_INTERVAL: Seconds = 5
 _STOP_POLL: Seconds = 0.05
 _INCARNATIONS_PER_SECOND = 1000
@@ -80,6 +86,7 @@
             self.me, int(time() * _INCARNATIONS_PER_SECOND), self.rng
         )
         self.synchronizer = Synchronizer(self)
+        self._started_at = monotonic()
         self._gossip = GossipLink(self.me.gossip, self._receive)
         self._admin = HttpServer(
             settings.address, ports.admin, AdminEndpoint(self).handle
@@ -147,6 +154,10 @@
             if member.vm not in out
         ]
 
+    def doubt_peer(self, member_id: str) -> None:
+        """Let the membership check a member whose link was lost."""
+        self.step(PeerUnheard(member_id))
+
     def tell_versions(self, versions: Versions) -> None:
         """Tell other members of newer platform objects."""
         self.step(VersionsChanged(versions))
@@ -193,10 +204,23 @@
         while True:
             try:
                 self.step(Ticked())
+                self._finish_join()
             except Exception:
                 _log.exception('membership step failed')
             await sleep(_TICK)
 
+    def _finish_join(self) -> None:
+        if not self.membership.is_joining:
+            return
+        if not self.lifecycle.has_configuration:
+            return
+        elapsed = monotonic() - self._started_at
+        if elapsed < _JOIN_TIME:
+            return
+        if self.membership.has_peers or elapsed >= _JOIN_ALONE_TIME:
+            self.events.record('node', 'joined')
+            self.step(JoinFinished())
+
     async def _run_vm_list(self) -> None:
         while True:
             with suppress(PlatformError):
--- a/src/sesametrack/upstreams/policy.py
+++ b/src/sesametrack/upstreams/policy.py
@@ -42,7 +42,7 @@
 )
 from sesametrack.upstreams.foreign import ForeignWork
 from sesametrack.upstreams.health import Health
-from sesametrack.upstreams.latency import ServiceTime
+from sesametrack.upstreams.latency import ServiceReferences, ServiceTime
 from sesametrack.upstreams.quarantine import Quarantine
 from sesametrack.upstreams.queue import DeadlineQueue, Waiting
 from sesametrack.upstreams.window import ConcurrencyWindow
@@ -52,14 +52,14 @@
 _MAX_QUEUE = 512
 # A response this many times slower than the learned mean is a jump; a
 # request in flight for this long holds back new ones.
-_JUMP_FACTOR = 4
-_MIN_JUMP: Seconds = 0.03
-_MIN_JUMP_SAMPLES = 8
+_JUMP_FACTOR = 2.5
+_JUMP_FACTOR_OF_SIBLINGS = 5
+_MIN_JUMP: Seconds = 0.01
 _JUMPS_TO_SHRINK = 2
 # A reply is overdue after this many mean response times; then the idle
 # connections are probed, since a silent path would take them as well.
 _OVERDUE_FACTOR = 10
-_MIN_OVERDUE: Seconds = 0.15
+_MIN_OVERDUE: Seconds = 0.08
 # The connection of a request without a reply is closed this long after its
 # deadline, or at once if a probe beside it went unanswered.
 _DEADLINE_GRACE: Seconds = 0.1
@@ -102,6 +102,7 @@
         *,
         is_learned: bool = True,
         handover_due: Instant = 0,
+        references: ServiceReferences | None = None,
     ) -> None:
         """Start cautiously; `is_learned` is off for the baseline policy.
 
@@ -118,7 +119,8 @@
         self._window = ConcurrencyWindow(
             upstream.slots, now, is_learned=is_learned
         )
-        self._service_time = ServiceTime()
+        self._service_time = ServiceTime(now)
+        self._references = references or ServiceReferences()
         self._foreign = ForeignWork()
         self._running: dict[int, _Running] = {}
         self._jumps = 0
@@ -151,7 +153,7 @@
         return Handover(
             self.upstream.id,
             self._window.size,
-            self._service_time.mean * _MS,
+            self._service_time.reference * _MS,
             list(self.holdings),
             len(self._running),
         )
@@ -291,7 +293,7 @@
     ) -> list[UpstreamAction]:
         self.health.handover_due = now
         self._window.restore(int(event.handover.window))
-        self._service_time.mean = event.handover.service_ms / _MS
+        self._service_time.restore(event.handover.service_ms / _MS)
         if not self.holdings:
             self.holdings = event.handover.holdings
         for _ in range(event.handover.in_flight):
@@ -423,7 +425,11 @@
         self._quarantine.record_success(running.waiting.sub_query.fingerprint)
         elapsed = now - running.sent_at
         is_jump = elapsed > self._jump_limit()
-        self._service_time.record(elapsed)
+        self._service_time.record(elapsed, now)
+        if self._service_time.is_trusted:
+            self._references.record(
+                self.upstream.service, self._service_time.reference
+            )
         if not is_jump:
             self._jumps = 0
             self._window.record_success(now)
@@ -437,9 +443,14 @@
             self._window.record_failure(now)
 
     def _jump_limit(self) -> Seconds:
-        if self._service_time.samples < _MIN_JUMP_SAMPLES:
+        """Return the time above which a response is a latency jump."""
+        if self._service_time.is_trusted:
+            limit = _JUMP_FACTOR * self._service_time.reference
+            return max(_MIN_JUMP, limit)
+        siblings = self._references.lowest(self.upstream.service)
+        if siblings is None:
             return float('inf')
-        return max(_MIN_JUMP, _JUMP_FACTOR * self._service_time.reference)
+        return max(_MIN_JUMP, _JUMP_FACTOR_OF_SIBLINGS * siblings)
 
     def _watch_running(self, now: Instant) -> list[UpstreamAction]:
         actions: list[UpstreamAction] = []
--- a/src/sesametrack/vms/events.py
+++ b/src/sesametrack/vms/events.py
@@ -8,7 +8,7 @@
     Notice,
     Versions,
 )
-from sesametrack.contracts.types import Address
+from sesametrack.contracts.types import Address, MemberId
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +31,18 @@
     addresses: frozenset[Address]
 
 
+@dataclass(frozen=True, slots=True)
+class JoinFinished:
+    """This daemon knows enough to get work."""
+
+
+@dataclass(frozen=True, slots=True)
+class PeerUnheard:
+    """A link to a member was lost, which hints that the member is gone."""
+
+    member_id: MemberId
+
+
 @dataclass(frozen=True, slots=True)
 class LeaveRequested:
     """This daemon stops on purpose."""
@@ -55,6 +67,8 @@
     GossipReceived
     | Ticked
     | AddressesLearned
+    | JoinFinished
+    | PeerUnheard
     | LeaveRequested
     | VersionsChanged
     | NoticesChanged
--- a/src/sesametrack/vms/lifecycle.py
+++ b/src/sesametrack/vms/lifecycle.py
@@ -45,6 +45,11 @@
         if self.stage is Stage.starting:
             self.stage = Stage.ready
 
+    @property
+    def is_draining(self) -> bool:
+        """Tell whether a graceful shutdown has begun."""
+        return self.stop_requested_at is not None
+
     @property
     def unready_reason(self) -> str:
         """Say why the balancer must not send work; empty when ready."""
--- a/src/sesametrack/vms/members.py
+++ b/src/sesametrack/vms/members.py
@@ -11,11 +11,15 @@
 _RETRANSMIT_FACTOR = 3
 _FORGET_AFTER: Seconds = 60
 _RANK = {
-    MemberState.alive: 0,
-    MemberState.suspect: 1,
-    MemberState.leaving: 2,
-    MemberState.dead: 3,
+    MemberState.joining: 0,
+    MemberState.alive: 1,
+    MemberState.suspect: 2,
+    MemberState.leaving: 3,
+    MemberState.dead: 4,
 }
+_REACHABLE = frozenset(
+    (MemberState.joining, MemberState.alive, MemberState.suspect)
+)
 _USABLE = frozenset((MemberState.alive, MemberState.suspect))
 
 
@@ -32,6 +36,11 @@
         """Return the belief in the form that travels."""
         return Update(self.member, self.incarnation, self.state)
 
+    @property
+    def is_reachable(self) -> bool:
+        """Tell whether the member takes part in gossip."""
+        return self.state in _REACHABLE
+
     @property
     def is_usable(self) -> bool:
         """Tell whether the member may get work."""
@@ -71,7 +80,7 @@
     def forget_old(self, now: Instant) -> None:
         """Drop members that have been dead or gone for a long time."""
         for belief in list(self):
-            if not belief.is_usable and now - belief.since > _FORGET_AFTER:
+            if not belief.is_reachable and now - belief.since > _FORGET_AFTER:
                 self.by_id.pop(belief.member.id)
                 self._sends_by_id.pop(belief.member.id, None)
 
@@ -87,6 +96,14 @@
                 self._sends_by_id.pop(member_id)
         return updates
 
+    def reachable(self) -> dict[MemberId, Member]:
+        """Return the members to gossip with."""
+        return {
+            belief.member.id: belief.member
+            for belief in self
+            if belief.is_reachable
+        }
+
     def usable(self) -> dict[MemberId, Member]:
         """Return the members that may get work."""
         return {
--- a/src/sesametrack/vms/membership.py
+++ b/src/sesametrack/vms/membership.py
@@ -20,12 +20,14 @@
 from sesametrack.vms.events import (
     AddressesLearned,
     GossipReceived,
+    JoinFinished,
     LeaveRequested,
     MembershipAction,
     MembershipEvent,
     MembersChanged,
     NoticesChanged,
     NoticesSeen,
+    PeerUnheard,
     SendGossip,
     Ticked,
     VersionsChanged,
@@ -74,7 +76,7 @@
         """Start alone; the incarnation must exceed that of earlier runs."""
         self.me = me
         self._incarnation = incarnation
-        self._state = MemberState.alive
+        self._state = MemberState.joining
         self._rng = rng
         self._versions = Versions()
         self._notices: tuple[Notice, ...] = ()
@@ -105,6 +107,16 @@
             members.append(self.me)
         return members
 
+    @property
+    def is_joining(self) -> bool:
+        """Tell whether this daemon gets no work yet."""
+        return self._state is MemberState.joining
+
+    @property
+    def has_peers(self) -> bool:
+        """Tell whether any other member is known to be there."""
+        return bool(self._table.reachable())
+
     def states(self) -> dict[MemberId, MemberState]:
         """Return the believed state of every known member."""
         known = {belief.member.id: belief.state for belief in self._table}
@@ -148,6 +160,22 @@
         self._addresses = event.addresses - {self.me.gossip}
         return []
 
+    @_apply.register
+    def _finish_join(
+        self, event: JoinFinished, now: Instant
+    ) -> list[MembershipAction]:
+        if not self.is_joining:
+            return []
+        self._state = MemberState.alive
+        return [MembersChanged(), *self._tell_some(now)]
+
+    @_apply.register
+    def _check_peer(
+        self, event: PeerUnheard, now: Instant
+    ) -> list[MembershipAction]:
+        member = self._table.reachable().get(event.member_id)
+        return [] if member is None else [self._probe(member, now)]
+
     @_apply.register
     def _leave(
         self, event: LeaveRequested, now: Instant
@@ -210,7 +238,7 @@
                 message.incarnation,
                 relay.sequence,
                 message.versions,
-                [],
+                message.updates[:1],
                 [],
             )
             actions.append(SendGossip(relay.requester, passed_on))
@@ -232,11 +260,8 @@
     ) -> list[MembershipAction]:
         if message.sender.id == self.me.id:
             return []
-        # First-hand news: the sender is up, unless it says it is leaving.
-        sender_update = Update(
-            message.sender, message.incarnation, MemberState.alive
-        )
-        for update in (sender_update, *message.updates):
+        # The first update is the sender's own word on itself.
+        for update in message.updates:
             self._take_update(update, now)
         actions: list[MembershipAction] = [
             VersionsSeen(message.sender, message.versions)
@@ -263,7 +288,7 @@
         others = [
             belief.as_update()
             for belief in self._table
-            if belief.is_usable and belief.member.id not in known
+            if belief.is_reachable and belief.member.id not in known
         ]
         room = min(len(others), _MAX_JOIN_UPDATES - len(updates))
         return updates + self._rng.sample(others, max(0, room))
@@ -283,13 +308,13 @@
         self._pending[self._sequence] = _PendingProbe(target, now)
         belief = self._table.by_id.get(target.id)
         probe = self._make_probe(self._sequence)
-        if belief is not None and not belief.is_usable:
+        if belief is not None and not belief.is_reachable:
             # It must hear what is said of it to be able to refute it.
             probe.updates.append(belief.as_update())
         return SendGossip(target.gossip, probe)
 
     def _probe_next(self, now: Instant) -> list[MembershipAction]:
-        usable = self._table.usable()
+        usable = self._table.reachable()
         while self._round:
             target = usable.get(self._round.pop())
             if target is not None:
@@ -301,7 +326,7 @@
         return [self._probe(usable[self._round.pop()], now)]
 
     def _tell_some(self, now: Instant) -> list[MembershipAction]:
-        usable = sorted(self._table.usable().values(), key=_member_id)
+        usable = sorted(self._table.reachable().values(), key=_member_id)
         chosen = self._rng.sample(usable, min(_FANOUT, len(usable)))
         return [self._probe(target, now) for target in chosen]
 
@@ -325,7 +350,7 @@
     ) -> list[MembershipAction]:
         helpers = [
             member
-            for member in self._table.usable().values()
+            for member in self._table.reachable().values()
             if member.id != target.id
         ]
         chosen = self._rng.sample(helpers, min(_HELPERS, len(helpers)))
@@ -334,7 +359,7 @@
 
     def _suspect(self, target: Member, now: Instant) -> None:
         belief = self._table.by_id.get(target.id)
-        if belief is None or belief.state is not MemberState.alive:
+        if belief is None or not belief.is_reachable:
             return
         self._table.apply(
             Update(target, belief.incarnation, MemberState.suspect), now
