Ask an upstream for a sign of life before it gets work again

Cause: queues filled at upstreams that were down; a request given up held its slot for a second, so one silent connection stalled an upstream; gates of other domains opened thousands of connections to frozen hosts, and took work for them on their return beside their own gates. Change: an upstream is proven by a reply, probe or report before it gets work; connections to an unproven one are opened one at a time with back-off; gates of another domain wait 2 s after its first sign of life; a restarted entry is unready until its replicas are known; a suspect that answered on any shard is no suspect.

--- a/bench/figures.py
+++ b/bench/figures.py
@@ -50,7 +50,8 @@
     """Counts over all upstreams."""
 
     ran: int
-    over_limit: int
+    over_slots: int
+    over_connections: int
     fell_over: int
     crashes: int
     poisoned: int
@@ -65,9 +66,8 @@
     ]
     return UpstreamTotals(
         sum(counted.ran for counted in counts),
-        sum(
-            counted.over_slots + counted.over_connections for counted in counts
-        ),
+        sum(counted.over_slots for counted in counts),
+        sum(counted.over_connections for counted in counts),
         sum(counted.fell_over for counted in counts),
         sum(counted.crashes for counted in counts),
         sum(counted.poisoned for counted in counts),
@@ -92,7 +92,7 @@
     _fill_outcomes(figures, results)
     figures.throughput_per_s = round(len(ran) / duration, 1)
     totals = total_counts(reports)
-    figures.over_limit = totals.over_limit
+    figures.over_limit = totals.over_slots + totals.over_connections
     needed = sum(
         result.content['coverage']['shards_total']
         for result in results
@@ -109,6 +109,8 @@
     ) + _count_split_actions(reports)
     figures.notes = {
         **_count_missing(results),
+        'over_slots': totals.over_slots,
+        'over_connections': totals.over_connections,
         'fell_over': totals.fell_over,
         'crashes': totals.crashes,
         'poisoned': totals.poisoned,
@@ -132,7 +134,10 @@
     if result.status == 200:
         return _is_wrong_answer(result)
     if content.get('outcome') == 'not-run':
-        return result.question.query.get('nonce') in ran
+        query = result.question.query
+        # A killer is sent again as the same query; its runs are counted
+        # apart, as `poisoned`.
+        return not query.get('poison') and query.get('nonce') in ran
     return False
 
 
--- a/src/sesametrack/callers/budget.py
+++ b/src/sesametrack/callers/budget.py
@@ -1,19 +1,18 @@
 """Budget of extra sub-queries as a share of the primary ones."""
 
-_BURST = 10
-
 
 class ShareBudget:
     """Token bucket that fills with each primary sub-query."""
 
-    def __init__(self, share: float) -> None:
-        """Allow `share` extra sub-queries for each primary one."""
-        self.share = share
-        self._tokens: float = _BURST * min(1, share * _BURST)
+    def __init__(self, share: float, burst: int) -> None:
+        """Allow `share` extra for each primary one, and `burst` at once."""
+        self._share = share
+        self._burst = burst if share else 0
+        self._tokens: float = self._burst
 
     def record_primary(self, count: int = 1) -> None:
         """Earn tokens for primary sub-queries."""
-        self._tokens = min(_BURST, self._tokens + self.share * count)
+        self._tokens = min(self._burst, self._tokens + self._share * count)
 
     def take(self) -> bool:
         """Spend one token; False if there is none."""
--- a/src/sesametrack/callers/query.py
+++ b/src/sesametrack/callers/query.py
@@ -421,6 +421,9 @@
     ) -> bool:
         if attempt.reason is not Reason.connection_lost:
             return False
+        if any(known.is_answered for known in self._progress.shards):
+            # A killer crashes each upstream that runs it; this one did not.
+            return False
         fingerprint = self._request.fingerprint
         if not self._context.quarantine.is_suspect(fingerprint, now):
             return False
--- a/src/sesametrack/callers/replicas.py
+++ b/src/sesametrack/callers/replicas.py
@@ -205,6 +205,11 @@
         """Tell whether a service has more than one shard."""
         return self._service_by_id[service].is_sharded
 
+    def is_whole(self) -> bool:
+        """Tell whether every service has a usable replica for each key."""
+        plans = [self.plan(service) for service in self._service_by_id]
+        return all(plan is not None and plan.lost_width == 0 for plan in plans)
+
     def plan(self, service: ServiceId) -> SnapshotPlan | None:
         """Pin the newest snapshot with a usable replica for every shard.
 
--- a/src/sesametrack/programs/entry.py
+++ b/src/sesametrack/programs/entry.py
@@ -71,6 +71,9 @@
 _NOTICE_INTERVAL: Seconds = 1
 _STALL_CHECK_INTERVAL: Seconds = 0.03
 _MAX_NOTICES = 8
+_HEDGE_BURST = 20
+# A lost gate takes what was in flight at all its upstreams with it.
+_RETRY_BURST = 100
 _MS = 1000
 
 
@@ -117,6 +120,7 @@
                 self._configure,
                 lambda leaving: None,
                 self._take_notices,
+                self._context.table.is_whole,
                 self._describe,
             )
         )
@@ -432,8 +436,8 @@
     return ServiceState(
         rules,
         LatencyQuantile(_HEDGE_PERCENTILE, _FIRST_HEDGE_DELAY),
-        ShareBudget(rules.hedge_budget),
-        ShareBudget(rules.retry_budget),
+        ShareBudget(rules.hedge_budget, _HEDGE_BURST),
+        ShareBudget(rules.retry_budget, _RETRY_BURST),
     )
 
 
--- a/src/sesametrack/programs/gate.py
+++ b/src/sesametrack/programs/gate.py
@@ -7,7 +7,7 @@
 
 from sesametrack.configuration.parts import Configuration
 from sesametrack.contracts.inventory import Inventory, Upstream
-from sesametrack.contracts.members import Member, Notice, Role
+from sesametrack.contracts.members import Member, MemberState, Notice, Role
 from sesametrack.contracts.messages import (
     Cancel,
     Handover,
@@ -44,7 +44,7 @@
 from sesametrack.upstreams.quarantine import Quarantine
 
 _TICK: Seconds = 0.02
-_LOAD_INTERVAL: Seconds = 0.25
+_LOAD_INTERVAL: Seconds = 0.5
 _NOTICE_INTERVAL: Seconds = 1
 _HANDOVER_TIME: Seconds = 1
 # A gate that lost an upstream serves it for this long unless the new gate
@@ -52,6 +52,10 @@
 _KEEP_AFTER_LOSS: Seconds = 1.5
 # An upstream that was handed over is not taken back within this time.
 _HANDED_OVER_TIME: Seconds = 2
+# A gate of another failure domain uses an upstream only after it has been in
+# reach for this long: when a partition heals, its own gate is there first.
+_CARETAKER_TIME: Seconds = 2
+_IDLE_TICKS = 10
 _MAX_NOTICES = 8
 _MS = 1000
 _log = getLogger('gate')
@@ -88,6 +92,7 @@
                 self._configure,
                 self._set_leaving,
                 self._take_notices,
+                lambda: True,
                 self._describe,
             )
         )
@@ -187,7 +192,13 @@
         self._drop(upstream.id)
         now = monotonic()
         owner = self._former.gate_of(upstream.id) if self._former else None
-        is_elsewhere = owner is not None and owner.id != self._node.me.id
+        states = self._node.membership.states()
+        is_elsewhere = (
+            owner is not None
+            and owner.id != self._node.me.id
+            and states.get(owner.id) is not MemberState.dead
+        )
+        is_near = upstream.failure_domain == self._node.me.failure_domain
         handover_due = now + _HANDOVER_TIME if is_elsewhere else 0
         keeper = UpstreamKeeper(
             upstream,
@@ -197,6 +208,7 @@
             is_learned=self._is_learned,
             handover_due=handover_due,
             references=self._references,
+            settle_time=0 if is_near else _CARETAKER_TIME,
         )
         self._keeper_by_id[upstream.id] = keeper
         keeper.start()
@@ -304,11 +316,14 @@
         )
 
     async def _run_ticks(self) -> None:
+        ticks = 0
         while True:
-            now = monotonic()
+            ticks += 1
+            is_idle_turn = ticks % _IDLE_TICKS == 0
             for keeper in list(self._keeper_by_id.values()):
-                keeper.tick()
-            self._drop_lost(now)
+                if is_idle_turn or keeper.policy.is_busy:
+                    keeper.tick()
+            self._drop_lost(monotonic())
             await sleep(_TICK)
 
     def _drop_lost(self, now: Instant) -> None:
--- a/src/sesametrack/programs/keeper.py
+++ b/src/sesametrack/programs/keeper.py
@@ -5,7 +5,7 @@
 
 from sesametrack.contracts.inventory import Upstream
 from sesametrack.contracts.messages import Suspicion, ViewReport
-from sesametrack.contracts.types import Instant
+from sesametrack.contracts.types import Instant, Seconds
 from sesametrack.links.peers import PeerHub
 from sesametrack.links.upstream import (
     UpstreamConnection,
@@ -43,6 +43,7 @@
         is_learned: bool,
         handover_due: Instant,
         references: ServiceReferences,
+        settle_time: Seconds,
     ) -> None:
         """Bind the parts; `start` opens connections."""
         self._node = node
@@ -54,6 +55,7 @@
             is_learned=is_learned,
             handover_due=handover_due,
             references=references,
+            settle_time=settle_time,
         )
         self._control = UpstreamControl(upstream.address, self.step)
         self._connection_by_number: dict[int, UpstreamConnection] = {}
--- a/src/sesametrack/programs/node.py
+++ b/src/sesametrack/programs/node.py
@@ -61,6 +61,7 @@
     configured: Callable[[Configuration], None]
     leaving_changed: Callable[[frozenset[str]], None]
     notices_seen: Callable[[list[Notice]], None]
+    is_prepared: Callable[[], bool]
     describe: Callable[[], object]
 
 
@@ -217,8 +218,10 @@
         elapsed = monotonic() - self._started_at
         if elapsed < _JOIN_TIME:
             return
-        if self.membership.has_peers or elapsed >= _JOIN_ALONE_TIME:
+        is_prepared = self.membership.has_peers and self._handlers.is_prepared()
+        if is_prepared or elapsed >= _JOIN_ALONE_TIME:
             self.events.record('node', 'joined')
+            self.lifecycle.finish_join()
             self.step(JoinFinished())
 
     async def _run_vm_list(self) -> None:
--- a/src/sesametrack/upstreams/connections.py
+++ b/src/sesametrack/upstreams/connections.py
@@ -61,12 +61,20 @@
             state.value: len(self._numbers(state)) for state in ConnectionState
         }
 
-    def refill(self, now: Instant) -> list[UpstreamAction]:
-        """Open what is missing, at most one at a time after a failure."""
+    def refill(
+        self, now: Instant, *, is_proven: bool = True
+    ) -> list[UpstreamAction]:
+        """Open what is missing, at most one at a time after a failure.
+
+        To an upstream that gives no sign of life only one is opened at a
+        time, more and more rarely: a host that stands still accepts
+        connections all the same, and would find them all when it goes on.
+        """
         actions: list[UpstreamAction] = []
         if now < self._open_after:
             return actions
-        while len(self._by_number) < self._target:
+        target = self._target if is_proven else 1
+        while len(self._by_number) < target:
             self._opened += 1
             self._by_number[self._opened] = _Connection(
                 ConnectionState.opening, now
@@ -79,7 +87,6 @@
     def record_open(self, number: int, now: Instant) -> None:
         """Note that a connection is ready."""
         if number in self._by_number:
-            self._backoff = 0
             self._by_number[number] = _Connection(ConnectionState.idle, now)
 
     def record_end(self, number: int, now: Instant) -> None:
@@ -88,9 +95,7 @@
         if connection is None:
             return
         if connection.state is ConnectionState.opening:
-            doubled = max(_MIN_BACKOFF, self._backoff * 2)
-            self._backoff = min(_MAX_BACKOFF, doubled)
-            self._open_after = now + self._backoff
+            self._back_off(now)
 
     def take_idle(self, now: Instant) -> int | None:
         """Mark the most recently used idle connection busy; None if none."""
@@ -101,9 +106,16 @@
         self._by_number[number] = _Connection(ConnectionState.busy, now)
         return number
 
-    def has_idle(self) -> bool:
-        """Tell whether a request could be sent at once."""
-        return bool(self._numbers(ConnectionState.idle))
+    def has_open(self) -> bool:
+        """Tell whether any connection is open."""
+        return any(
+            connection.state is not ConnectionState.opening
+            for connection in self._by_number.values()
+        )
+
+    def reset_backoff(self) -> None:
+        """Open freely again: the upstream has answered."""
+        self._backoff = 0
 
     def release(self, number: int, now: Instant) -> None:
         """Mark a connection idle after its response or probe answer."""
@@ -144,8 +156,15 @@
             for number in self._numbers(state):
                 if now - self._by_number[number].since >= limit:
                     actions.extend(self.close(number))
+        if actions:
+            self._back_off(now)
         return actions
 
+    def _back_off(self, now: Instant) -> None:
+        doubled = max(_MIN_BACKOFF, self._backoff * 2)
+        self._backoff = min(_MAX_BACKOFF, doubled)
+        self._open_after = now + self._backoff
+
     def _numbers(self, state: ConnectionState) -> list[int]:
         return [
             number
--- a/src/sesametrack/upstreams/foreign.py
+++ b/src/sesametrack/upstreams/foreign.py
@@ -6,8 +6,6 @@
 
 # Load reports lag by up to this time; own work inside it is not foreign.
 _REPORT_LAG: Seconds = 1
-# A request that was given up holds its slot for at most this long.
-_GHOST_TIME: Seconds = 1
 _FOREIGN_HOLD: Seconds = 2
 
 
@@ -26,9 +24,9 @@
         """Requests given up that the upstream may still be running."""
         return len(self._ghosts)
 
-    def add_ghost(self, now: Instant) -> None:
-        """Count a request that was given up without its response."""
-        self._ghosts.append(now + _GHOST_TIME)
+    def add_ghost(self, now: Instant, hold: Seconds) -> None:
+        """Let a request that was given up hold its slot for a time."""
+        self._ghosts.append(now + hold)
 
     def record_own(self, in_flight: int, now: Instant) -> None:
         """Note the number of own requests, and let old entries expire."""
--- a/src/sesametrack/upstreams/policy.py
+++ b/src/sesametrack/upstreams/policy.py
@@ -64,6 +64,9 @@
 # deadline, or at once if a probe beside it went unanswered.
 _DEADLINE_GRACE: Seconds = 0.1
 
+# A request given up holds its slot for this many response times more.
+_GHOST_FACTOR = 10
+_MIN_GHOST: Seconds = 0.1
 # Connections that die within this time belong to one crash.
 _SAME_CRASH: Seconds = 0.5
 
@@ -103,11 +106,13 @@
         is_learned: bool = True,
         handover_due: Instant = 0,
         references: ServiceReferences | None = None,
+        settle_time: Seconds = 0,
     ) -> None:
         """Start cautiously; `is_learned` is off for the baseline policy.
 
         Nothing is started before the former gate's handover, or before the
-        instant at which that is due.
+        instant at which that is due, nor for `settle_time` seconds after the
+        upstream gave its first sign of life.
         """
         self.upstream = upstream
         self.health = Health(handover_due=handover_due)
@@ -123,6 +128,8 @@
         self._references = references or ServiceReferences()
         self._foreign = ForeignWork()
         self._running: dict[int, _Running] = {}
+        self._settle_time = settle_time
+        self._is_proven = False
         self._jumps = 0
         self._deaths: list[Instant] = []
         self._published: tuple = ()
@@ -141,7 +148,7 @@
         """Return what entries need to know to choose a replica."""
         return UpstreamView(
             self.upstream.id,
-            self.health.refusal(now) is Reason.none and bool(self.holdings),
+            self._is_accepting(now),
             self._expected_wait() * _MS,
             self._idle_slots(),
             self._service_time.mean * _MS,
@@ -177,6 +184,11 @@
         """Number of requests sent and not yet ended."""
         return len(self._running)
 
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether time matters at once: work is there, or is due."""
+        return bool(self._running or len(self._queue) or not self._is_proven)
+
     @property
     def queued(self) -> int:
         """Number of sub-queries that wait."""
@@ -224,7 +236,10 @@
         self, event: ConnectionOpened, now: Instant
     ) -> list[UpstreamAction]:
         self._pool.record_open(event.connection, now)
-        return []
+        if self._is_proven:
+            return []
+        # An upstream that did not answer is asked before it gets work.
+        return self._pool.probe_idle(now, 0)
 
     @_apply.register
     def _end(
@@ -237,13 +252,14 @@
             return []
         self._deaths.append(now)
         self._window.record_failure(now)
-        self._foreign.add_ghost(now)
+        self._add_ghost(now)
         return self._report_death(running, in_flight, now)
 
     @_apply.register
     def _probe_answered(
         self, event: ProbeAnswered, now: Instant
     ) -> list[UpstreamAction]:
+        self._prove(now)
         self._pool.release(event.connection, now)
         return []
 
@@ -256,6 +272,7 @@
             self._pool.record_end(event.connection, now)
         if running is None:
             return []
+        self._prove(now)
         self._learn(running, event.response, now)
         state, reason = _STATE_BY_KIND[event.response.kind]
         reply = SubReply(
@@ -272,6 +289,7 @@
 
     @_apply.register
     def _load(self, event: LoadReported, now: Instant) -> list[UpstreamAction]:
+        self._prove(now)
         self._foreign.record_report(event.in_flight, now)
         self.health.is_report_draining = event.is_draining
         if event.is_cold and self._window.is_full_size:
@@ -297,7 +315,7 @@
         if not self.holdings:
             self.holdings = event.handover.holdings
         for _ in range(event.handover.in_flight):
-            self._foreign.add_ghost(now)
+            self._add_ghost(now)
         return []
 
     @_apply.register
@@ -327,13 +345,17 @@
         if closing:
             actions.extend(closing)
             actions.extend(self._give_up_overdue(now))
-        actions.extend(self._pool.refill(now))
+        actions.extend(self._pool.refill(now, is_proven=self._is_proven))
+        if not self._pool.has_open():
+            actions.extend(self._refuse_all(Reason.no_replica, now))
         return actions
 
     def _refusal(self, waiting: Waiting, now: Instant) -> Reason:
         reason = self.health.refusal(now)
         if reason is not Reason.none:
             return reason
+        if not self._is_accepting(now):
+            return Reason.no_replica
         sub_query = waiting.sub_query
         if self._quarantine.is_convicted(sub_query.fingerprint, now):
             return Reason.quarantined
@@ -375,7 +397,9 @@
                 break
             number = self._pool.take_idle(now)
             if number is None:
-                actions.extend(self._pool.refill(now))
+                actions.extend(
+                    self._pool.refill(now, is_proven=self._is_proven)
+                )
                 break
             self._queue.remove(waiting.sub_query.id)
             self._running[number] = _Running(waiting, now)
@@ -385,7 +409,9 @@
         return actions
 
     def _may_start(self, now: Instant) -> bool:
-        if not len(self._queue) or self.health.refusal(now) is not Reason.none:
+        if not len(self._queue) or not self._is_proven:
+            return False
+        if self.health.refusal(now) is not Reason.none:
             return False
         return self._idle_slots() > 0
 
@@ -478,11 +504,16 @@
 
     def _give_up(self, number: int, now: Instant) -> list[UpstreamAction]:
         running = self._running.pop(number)
-        self._foreign.add_ghost(now)
+        self._add_ghost(now)
+        self._is_proven = False
         actions = self._pool.close(number)
         actions.append(self._lose(running, now))
         return actions
 
+    def _add_ghost(self, now: Instant) -> None:
+        hold = _GHOST_FACTOR * self._service_time.reference
+        self._foreign.add_ghost(now, max(_MIN_GHOST, hold))
+
     def _lose(self, running: _Running, now: Instant) -> SendReply:
         reply = SubReply(
             running.waiting.sub_query.id,
@@ -516,9 +547,25 @@
             self._lose(running, now),
         ]
 
+    def _prove(self, now: Instant) -> None:
+        """Note a sign of life."""
+        self._pool.reset_backoff()
+        if self._is_proven:
+            return
+        self._is_proven = True
+        settled_at = now + self._settle_time
+        self.health.handover_due = max(self.health.handover_due, settled_at)
+
+    def _is_accepting(self, now: Instant) -> bool:
+        return (
+            self.health.refusal(now) is Reason.none
+            and self._is_proven
+            and bool(self.holdings)
+            and self._pool.has_open()
+        )
+
     def _publish(self, now: Instant) -> list[UpstreamAction]:
-        is_accepting = self.health.refusal(now) is Reason.none
-        published = (is_accepting, tuple(self.holdings))
+        published = (self._is_accepting(now), tuple(self.holdings))
         if published == self._published:
             return []
         self._published = published
--- a/src/sesametrack/vms/lifecycle.py
+++ b/src/sesametrack/vms/lifecycle.py
@@ -29,6 +29,7 @@
     stage: Stage = Stage.starting
     stop_requested_at: Instant | None = None
     has_configuration: bool = False
+    is_joined: bool = False
     is_vm_out: bool = False
 
     def request_stop(self, now: Instant) -> bool:
@@ -42,6 +43,10 @@
     def configure(self) -> None:
         """Note that a configuration is in force."""
         self.has_configuration = True
+
+    def finish_join(self) -> None:
+        """Note that this daemon knows its peers well enough to serve."""
+        self.is_joined = True
         if self.stage is Stage.starting:
             self.stage = Stage.ready
 
@@ -57,6 +62,8 @@
             return 'draining'
         if not self.has_configuration:
             return 'no configuration from peers or platform'
+        if not self.is_joined:
+            return 'joining'
         if self.is_vm_out:
             return 'taken out of service'
         return ''
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -288,7 +288,9 @@
         world.pass_time(1.5)
         self.assertEqual(set(), silent & world.open)
         self.assertEqual(SubState.unknown, world.replies['q1'][0].state)
+        world.answers_probes = True
         world.open_all()
+        world.tick()
         world.offer(2)
         self.assertEqual(['q2'], [sent.id for sent in world.running.values()])
 
--- a/tests/test_query.py
+++ b/tests/test_query.py
@@ -89,8 +89,8 @@
         state = ServiceState(
             self.rules,
             LatencyQuantile(95, 0.05),
-            ShareBudget(0.5),
-            ShareBudget(0.5),
+            ShareBudget(0.5, 10),
+            ShareBudget(0.5, 10),
         )
         service = 'find' if repeatable else 'pay'
         self.query = self.query_class(
