Keep views and links of peers that speak before gossip names them

Cause, seen on the time line of a restarted VM: a gate's first report of its upstreams came before the entry's own link to it was up and was dropped; links to peers that had said hello but were not yet in the membership were closed and never reopened, so that handover requests and replies found no link. Change: views are dropped only when the gate begins a new session; links are given up only when down for 10 s and unknown; a handover request is repeated when the link comes up.

--- a/src/sesametrack/callers/replicas.py
+++ b/src/sesametrack/callers/replicas.py
@@ -129,9 +129,6 @@
     def place(self, placement: Placement, linked: Iterable[MemberId]) -> None:
         """Take over the owners of all upstreams and the links that are up."""
         linked_ids = set(linked)
-        for lost in set(self._views_by_gate) - linked_ids:
-            # The next session begins with a report of all views.
-            self._views_by_gate.pop(lost)
         for replica in self.by_id.values():
             gate = placement.gate_of(replica.upstream.id)
             if gate != replica.gate:
@@ -140,6 +137,10 @@
             replica.is_gate_linked = gate is not None and gate.id in linked_ids
         self._plan_by_service.clear()
 
+    def forget_views(self, gate: MemberId) -> None:
+        """Drop a gate's views: its new session begins with all of them."""
+        self._views_by_gate.pop(gate, None)
+
     def mark_stalled(self, gates: set[MemberId]) -> None:
         """Use no replica behind a stalled gate until it is heard again."""
         for replica in self.by_id.values():
--- a/src/sesametrack/links/peers.py
+++ b/src/sesametrack/links/peers.py
@@ -1,7 +1,7 @@
 """Links between entries and gates over pynng."""
 
 from asyncio import Task, create_task, get_running_loop, sleep
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from logging import getLogger
 from secrets import token_hex
 
@@ -29,6 +29,7 @@
 _SEND_BUFFER_FRAMES = 256
 _MAX_FRAME_BYTES = 64 * 1024 * 1024
 _MAX_MESSAGES = 256
+_FORGET_AFTER: Seconds = 10
 _RECONNECT_MS = 100
 _DRAIN_FRAMES = 64
 _log = getLogger('link')
@@ -59,6 +60,7 @@
         self.peer = peer
         self.address = address
         self.is_up = False
+        self.down_since = get_running_loop().time()
         self._hello = hello
         self._on_change = on_change
         self._on_unsent = on_unsent
@@ -134,6 +136,8 @@
             return
         was_up = self.is_up
         self.is_up = False
+        if was_up:
+            self.down_since = get_running_loop().time()
         self._close_socket()
         if self._heartbeat is None or self._heartbeat.cancelled():
             return
@@ -265,7 +269,9 @@
             )
             return
         former = self._session_by_member.get(hello.member)
-        if former is not None and former != session:
+        if former == session:
+            return
+        if former is not None:
             self._hello_by_session.pop(former, None)
         self._session_by_member[hello.member] = session
         self._hello_by_session[session] = hello
@@ -286,8 +292,14 @@
         on_message: MessageHandler,
         on_link_change: LinkHandler,
         on_unsent: UnsentHandler,
+        on_session: LinkHandler,
     ) -> None:
-        """Bind the handlers; `start` listens."""
+        """Bind the handlers; `start` listens.
+
+        `on_session` is called when a peer begins a new session towards this
+        daemon, before any message of it.
+        """
+        self._on_session = on_session
         self._hello = member_hello(me)
         self._on_message = on_message
         self._on_link_change = on_link_change
@@ -320,13 +332,19 @@
         self._link_by_peer[peer] = link
         link.start()
 
-    def disconnect(self, peer: MemberId) -> None:
-        """Give up the link to a peer."""
-        link = self._link_by_peer.pop(peer, None)
-        self._unheard_since.pop(peer, None)
-        if link is not None:
-            link.close()
-            self._on_link_change(peer)
+    def forget_unknown(self, known: Iterable[MemberId]) -> None:
+        """Give up links that are down for long, to peers nobody knows.
+
+        A peer may say hello before gossip tells of it, so that being
+        unknown is not enough.
+        """
+        known_peers = set(known)
+        latest = get_running_loop().time() - _FORGET_AFTER
+        for peer, link in list(self._link_by_peer.items()):
+            is_lost = not link.is_up and link.down_since < latest
+            if is_lost and peer not in known_peers:
+                self._link_by_peer.pop(peer).close()
+                self._unheard_since.pop(peer, None)
 
     def send(self, peer: MemberId, message: PeerMessage) -> None:
         """Send a message; it goes to `on_unsent` if there is no link."""
@@ -366,15 +384,12 @@
         link = self._link_by_peer.get(peer)
         return link is not None and link.is_up
 
-    def peers(self) -> list[MemberId]:
-        """Return the peers to which links are kept."""
-        return list(self._link_by_peer)
-
     def linked(self) -> list[MemberId]:
         """Return the peers whose links are up."""
         return [peer for peer, link in self._link_by_peer.items() if link.is_up]
 
     def _take_hello(self, hello: Hello) -> None:
+        self._on_session(hello.member)
         self.connect(hello.member, hello.reply_to)
 
     def _take(
--- a/src/sesametrack/programs/entry.py
+++ b/src/sesametrack/programs/entry.py
@@ -85,7 +85,11 @@
         self._is_learned = settings.policy == 'full'
         self._node = Node(settings, Role.entry, settings.entry.ports)
         self._hub = PeerHub(
-            self._node.me, self._take, self._link_changed, self._take_unsent
+            self._node.me,
+            self._take,
+            self._link_changed,
+            self._take_unsent,
+            self._begin_session,
         )
         self._server = HttpServer(
             settings.address,
@@ -258,6 +262,9 @@
         elif isinstance(message, Suspicion):
             self._take_suspicion(message)
 
+    def _begin_session(self, gate: MemberId) -> None:
+        self._context.table.forget_views(gate)
+
     def _take_reply(self, sender: MemberId, reply: SubReply) -> None:
         if reply.view is not None:
             self._context.table.update_view(reply.view, sender, monotonic())
@@ -311,13 +318,10 @@
         if self._configuration is None:
             return
         members = self._node.members()
-        known = self._node.membership.states()
         for member in members:
             if member.role is Role.gate:
                 self._hub.connect(member.id, member.peer)
-        for peer in self._hub.peers():
-            if peer not in known:
-                self._hub.disconnect(peer)
+        self._hub.forget_unknown(self._node.membership.states())
         self._placement = Placement(self._configuration.inventory, members)
         self._place_replicas()
 
--- a/src/sesametrack/programs/gate.py
+++ b/src/sesametrack/programs/gate.py
@@ -70,7 +70,11 @@
         self._is_learned = settings.policy == 'full'
         self._node = Node(settings, Role.gate, settings.gate.ports)
         self._hub = PeerHub(
-            self._node.me, self._take, self._link_changed, self._drop_unsent
+            self._node.me,
+            self._take,
+            self._link_changed,
+            self._drop_unsent,
+            self._begin_session,
         )
         self._quarantine = Quarantine()
         self._references = ServiceReferences()
@@ -79,6 +83,8 @@
         self._domains_out: frozenset[str] = frozenset()
         self._keeper_by_id: dict[UpstreamId, UpstreamKeeper] = {}
         self._former: Placement | None = None
+        # Former owners that have not answered a handover request yet.
+        self._former_by_upstream: dict[UpstreamId, MemberId] = {}
         self._lost_since_by_id: dict[UpstreamId, Instant] = {}
         self._handed_over_by_id: dict[UpstreamId, Instant] = {}
         self._tasks: list[Task] = []
@@ -183,10 +189,7 @@
             is_other = member.id != self._node.me.id
             if member.role is Role.gate and is_near and is_other:
                 self._hub.connect(member.id, member.peer)
-        known = self._node.membership.states()
-        for peer in self._hub.peers():
-            if peer not in known:
-                self._hub.disconnect(peer)
+        self._hub.forget_unknown(self._node.membership.states())
 
     def _adopt(self, upstream: Upstream) -> None:
         self._drop(upstream.id)
@@ -218,15 +221,12 @@
             keeper.step(PlatformReported(is_leaving=True))
         if is_elsewhere:
             self._hub.connect(owner.id, owner.peer)
-            self._hub.send(
-                owner.id,
-                HandoverRequest(
-                    upstream.id, self._node.me.id, self._node.me.peer
-                ),
-            )
+            self._former_by_upstream[upstream.id] = owner.id
+            self._ask_handover(upstream.id, owner.id)
         self._node.events.record('gate', 'adopted', upstream=upstream.id)
 
     def _drop(self, upstream_id: UpstreamId) -> None:
+        self._former_by_upstream.pop(upstream_id, None)
         keeper = self._keeper_by_id.pop(upstream_id, None)
         if keeper is not None:
             keeper.step(Stopping())
@@ -258,6 +258,18 @@
             for keeper in self._keeper_by_id.values()
         ]
         self._hub.send(peer, ViewReport(views))
+        for upstream_id, owner in list(self._former_by_upstream.items()):
+            if owner == peer:
+                self._ask_handover(upstream_id, owner)
+
+    def _begin_session(self, peer: MemberId) -> None:
+        """Need nothing of a new session but its messages."""
+
+    def _ask_handover(self, upstream_id: UpstreamId, owner: MemberId) -> None:
+        self._hub.send(
+            owner,
+            HandoverRequest(upstream_id, self._node.me.id, self._node.me.peer),
+        )
 
     def _drop_unsent(self, peer: MemberId, messages: list) -> None:
         self._node.metrics.count('gate.replies_unsent', len(messages))
@@ -280,6 +292,7 @@
 
     @_act.register
     def _take_handover(self, message: Handover, sender: MemberId) -> None:
+        self._former_by_upstream.pop(message.upstream, None)
         keeper = self._keeper_by_id.get(message.upstream)
         if keeper is not None:
             keeper.step(HandoverReceived(message))
--- a/src/sesametrack/programs/keeper.py
+++ b/src/sesametrack/programs/keeper.py
@@ -151,4 +151,7 @@
             'view_changed',
             upstream=view.upstream,
             accepting=view.accepting,
+            proven=self.policy.is_proven,
+            refusal=self.policy.health.refusal(monotonic()).value,
+            connections=self.policy.connections,
         )
--- a/src/sesametrack/upstreams/policy.py
+++ b/src/sesametrack/upstreams/policy.py
@@ -184,6 +184,11 @@
         """Number of requests sent and not yet ended."""
         return len(self._running)
 
+    @property
+    def is_proven(self) -> bool:
+        """Tell whether the upstream gave a sign of life since it was silent."""
+        return self._is_proven
+
     @property
     def is_busy(self) -> bool:
         """Tell whether time matters at once: work is there, or is due."""
