Give up replies on silent connections although their neighbours answer

Change: a reply is given up after 50 response times (0.3 s at least); an unproven upstream is probed on every tick; failures together count once.

--- a/src/sesametrack/upstreams/connections.py
+++ b/src/sesametrack/upstreams/connections.py
@@ -116,6 +116,7 @@
     def reset_backoff(self) -> None:
         """Open freely again: the upstream has answered."""
         self._backoff = 0
+        self._open_after = 0
 
     def release(self, number: int, now: Instant) -> None:
         """Mark a connection idle after its response or probe answer."""
@@ -161,6 +162,9 @@
         return actions
 
     def _back_off(self, now: Instant) -> None:
+        if now < self._open_after:
+            # Connections that fail together count once.
+            return
         doubled = max(_MIN_BACKOFF, self._backoff * 2)
         self._backoff = min(_MAX_BACKOFF, doubled)
         self._open_after = now + self._backoff
--- a/src/sesametrack/upstreams/policy.py
+++ b/src/sesametrack/upstreams/policy.py
@@ -60,6 +60,10 @@
 # connections are probed, since a silent path would take them as well.
 _OVERDUE_FACTOR = 10
 _MIN_OVERDUE: Seconds = 0.08
+# After this time a reply is given up even if the probes beside it were
+# answered, since only its own connection may be silent.
+_HOPELESS_FACTOR = 50
+_MIN_HOPELESS: Seconds = 0.3
 # The connection of a request without a reply is closed this long after its
 # deadline, or at once if a probe beside it went unanswered.
 _DEADLINE_GRACE: Seconds = 0.1
@@ -488,6 +492,9 @@
         overdue = max(
             _MIN_OVERDUE, _OVERDUE_FACTOR * self._service_time.reference
         )
+        hopeless = max(
+            _MIN_HOPELESS, _HOPELESS_FACTOR * self._service_time.reference
+        )
         for number, running in list(self._running.items()):
             elapsed = now - running.sent_at
             if elapsed > self._jump_limit() and not running.is_jump_counted:
@@ -496,8 +503,11 @@
             if elapsed > overdue and not running.has_probed:
                 running.has_probed = True
                 actions.extend(self._pool.probe_idle(now, 0))
-            if now > running.waiting.deadline + _DEADLINE_GRACE:
+            is_lost = elapsed > hopeless
+            if is_lost or now > running.waiting.deadline + _DEADLINE_GRACE:
                 actions.extend(self._give_up(number, now))
+        if not self._is_proven:
+            actions.extend(self._pool.probe_idle(now, 0))
         return actions
 
     def _give_up_overdue(self, now: Instant) -> list[UpstreamAction]:
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -210,8 +210,7 @@
             return 499, b'{}', None
         finally:
             timer.cancel()
-            self._running.pop(request_id, None)
-            self._note_running()
+            self._end_running(request_id)
         self._cold_left = max(0, self._cold_left - 1)
         body = {
             'upstream': self.upstream.id,
@@ -221,6 +220,10 @@
         }
         return 200, encode(body), snapshot
 
+    def _end_running(self, request_id: str) -> None:
+        self._running.pop(request_id, None)
+        self._note_running()
+
     def _note_running(self) -> None:
         """Add up for how long a cold upstream has had too much to do."""
         now = monotonic()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -289,8 +289,10 @@
         self.assertEqual(set(), silent & world.open)
         self.assertEqual(SubState.unknown, world.replies['q1'][0].state)
         world.answers_probes = True
-        world.open_all()
-        world.tick()
+        for _ in range(4):
+            world.pass_time(0.3)
+            world.open_all()
+            world.tick()
         world.offer(2)
         self.assertEqual(['q2'], [sent.id for sent in world.running.values()])
 
