Split the upstream policy into cold start, running requests and replies

Change: coldstart, running and replies are modules of their own; a hedge is also refused when more is in flight than the window allows (the check took a negative number of idle slots for some). Conclusion: no change of behaviour but for the hedge.

--- a/src/sesametrack/upstreams/policy.py
+++ b/src/sesametrack/upstreams/policy.py
@@ -1,14 +1,11 @@
 """The policy of one upstream: limits, queue, health and quarantine."""
 
-from dataclasses import dataclass
 from functools import singledispatchmethod
 
 from sesametrack.contracts.inventory import Upstream
 from sesametrack.contracts.messages import (
     Handover,
     SubQueryKind,
-    SubReply,
-    SubState,
     UpstreamView,
 )
 from sesametrack.contracts.outcomes import Reason
@@ -22,6 +19,7 @@
     SendRequest,
     UpstreamAction,
 )
+from sesametrack.upstreams.coldstart import ColdStart
 from sesametrack.upstreams.connections import ConnectionPool
 from sesametrack.upstreams.events import (
     Cancelled,
@@ -42,20 +40,14 @@
 )
 from sesametrack.upstreams.foreign import ForeignWork
 from sesametrack.upstreams.health import Health
-from sesametrack.upstreams.latency import ServiceReferences, ServiceTime
+from sesametrack.upstreams.latency import ServiceReferences
 from sesametrack.upstreams.quarantine import Quarantine
 from sesametrack.upstreams.queue import DeadlineQueue, Waiting
-from sesametrack.upstreams.window import ConcurrencyWindow
+from sesametrack.upstreams.replies import answer, lose, refuse
+from sesametrack.upstreams.running import Running, RunningRequests
 
 _MS: Milliseconds = 1000
-_EMPTY = b'null'
 _MAX_QUEUE = 512
-# A response this many times slower than the learned mean is a jump; a
-# request in flight for this long holds back new ones.
-_JUMP_FACTOR = 2.5
-_JUMP_FACTOR_OF_SIBLINGS = 5
-_MIN_JUMP: Seconds = 0.01
-_JUMPS_TO_SHRINK = 2
 # A reply is overdue after this many mean response times; then the idle
 # connections are probed, since a silent path would take them as well.
 _OVERDUE_FACTOR = 10
@@ -71,26 +63,6 @@
 # A request given up holds its slot for this many response times more.
 _GHOST_FACTOR = 10
 _MIN_GHOST: Seconds = 0.1
-# Connections that die within this time belong to one crash.
-_SAME_CRASH: Seconds = 0.5
-
-_STATE_BY_KIND = {
-    ResponseKind.answered: (SubState.answered, Reason.none),
-    ResponseKind.shed: (SubState.not_run, Reason.shed),
-    ResponseKind.draining: (SubState.not_run, Reason.draining),
-    ResponseKind.snapshot_gone: (SubState.not_run, Reason.snapshot_gone),
-    ResponseKind.cancelled: (SubState.unknown, Reason.cancelled),
-    ResponseKind.failed: (SubState.unknown, Reason.upstream_error),
-}
-
-
-@dataclass(slots=True)
-class _Running:
-    waiting: Waiting
-    sent_at: Instant
-    is_cancelled: bool = False
-    has_probed: bool = False
-    is_jump_counted: bool = False
 
 
 class UpstreamPolicy:
@@ -125,17 +97,17 @@
         self._quarantine = quarantine
         self._queue = DeadlineQueue()
         self._pool = ConnectionPool(upstream.slots, upstream.connections)
-        self._window = ConcurrencyWindow(
-            upstream.slots, now, is_learned=is_learned
+        self._cold_start = ColdStart(
+            upstream.service,
+            upstream.slots,
+            references or ServiceReferences(),
+            now,
+            is_learned=is_learned,
         )
-        self._service_time = ServiceTime(now)
-        self._references = references or ServiceReferences()
         self._foreign = ForeignWork()
-        self._running: dict[int, _Running] = {}
+        self._running = RunningRequests()
         self._settle_time = settle_time
         self._is_proven = False
-        self._jumps = 0
-        self._deaths: list[Instant] = []
         self._published: tuple = ()
 
     def handle(
@@ -155,7 +127,7 @@
             self._is_accepting(now),
             self._expected_wait() * _MS,
             self._idle_slots(),
-            self._service_time.mean * _MS,
+            self._cold_start.service_time.mean * _MS,
             list(self.holdings) if with_holdings else None,
         )
 
@@ -163,8 +135,8 @@
         """Return the learned state for the next gate of this upstream."""
         return Handover(
             self.upstream.id,
-            self._window.size,
-            self._service_time.reference * _MS,
+            self._cold_start.window.size,
+            self._cold_start.service_time.reference * _MS,
             list(self.holdings),
             len(self._running),
         )
@@ -174,11 +146,11 @@
         return {
             'in_flight': len(self._running),
             'queued': len(self._queue),
-            'window': self._window.size,
+            'window': self._cold_start.window.size,
             'foreign': self._foreign.count,
             'ghosts': self._foreign.ghosts,
             'refusal': self.health.refusal(now).value,
-            'service_ms': self._service_time.mean * _MS,
+            'service_ms': self._cold_start.service_time.mean * _MS,
             'connections': self._pool.describe(),
             'holdings': self.holdings,
         }
@@ -206,7 +178,7 @@
     @property
     def window_size(self) -> int:
         """Present size of the concurrency window."""
-        return self._window.size
+        return self._cold_start.window.size
 
     @property
     def connections(self) -> int:
@@ -233,12 +205,11 @@
         waiting = self._queue.remove(event.id)
         if waiting is not None:
             return [self._refuse(waiting, Reason.cancelled, now)]
-        for running in self._running.values():
-            is_same = running.waiting.sub_query.id == event.id
-            if is_same and not running.is_cancelled:
-                running.is_cancelled = True
-                return [SendCancel(event.id)]
-        return []
+        running = self._running.find(event.id)
+        if running is None or running.is_cancelled:
+            return []
+        running.is_cancelled = True
+        return [SendCancel(event.id)]
 
     @_apply.register
     def _open(
@@ -254,15 +225,20 @@
     def _end(
         self, event: ConnectionEnded, now: Instant
     ) -> list[UpstreamAction]:
-        in_flight = self._count_in_flight_at_death(now)
-        running = self._running.pop(event.connection, None)
         self._pool.record_end(event.connection, now)
-        if running is None:
+        if not self._running.has(event.connection):
             return []
-        self._deaths.append(now)
-        self._window.record_failure(now)
+        running, in_flight = self._running.record_death(event.connection, now)
+        self._cold_start.window.record_failure(now)
         self._add_ghost(now)
-        return self._report_death(running, in_flight, now)
+        fingerprint = running.sub_query.fingerprint
+        self._quarantine.record_death(
+            fingerprint, self.upstream.id, in_flight, now
+        )
+        return [
+            RaiseSuspicion(self.upstream.id, fingerprint, in_flight),
+            self._lose(running, now),
+        ]
 
     @_apply.register
     def _probe_answered(
@@ -274,7 +250,7 @@
 
     @_apply.register
     def _respond(self, event: Responded, now: Instant) -> list[UpstreamAction]:
-        running = self._running.pop(event.connection, None)
+        running = self._running.end(event.connection)
         if event.is_reusable:
             self._pool.release(event.connection, now)
         else:
@@ -283,26 +259,16 @@
             return []
         self._prove(now)
         self._learn(running, event.response, now)
-        state, reason = _STATE_BY_KIND[event.response.kind]
-        reply = SubReply(
-            running.waiting.sub_query.id,
-            state,
-            reason,
-            event.response.snapshot,
-            event.response.body,
-            (running.sent_at - running.waiting.queued_at) * _MS,
-            (now - running.sent_at) * _MS,
-            self.view(now, with_holdings=False),
-        )
-        return [SendReply(running.waiting.sender, reply)]
+        view = self.view(now, with_holdings=False)
+        return [answer(running, event.response, view, now)]
 
     @_apply.register
     def _load(self, event: LoadReported, now: Instant) -> list[UpstreamAction]:
         self._prove(now)
         self._foreign.record_report(event.in_flight, now)
         self.health.is_report_draining = event.is_draining
-        if event.is_cold and self._window.is_full_size:
-            self._window.record_failure(now)
+        if event.is_cold and self._cold_start.window.is_full_size:
+            self._cold_start.window.record_failure(now)
         if event.holdings:
             self.holdings = event.holdings
         return []
@@ -319,8 +285,9 @@
         self, event: HandoverReceived, now: Instant
     ) -> list[UpstreamAction]:
         self.health.handover_due = now
-        self._window.restore(int(event.handover.window))
-        self._service_time.restore(event.handover.service_ms / _MS)
+        self._cold_start.restore(
+            int(event.handover.window), event.handover.service_ms / _MS
+        )
         if not self.holdings:
             self.holdings = event.handover.holdings
         for _ in range(event.handover.in_flight):
@@ -370,7 +337,7 @@
             return Reason.quarantined
         if len(self._queue) >= _MAX_QUEUE:
             return Reason.queue_full
-        if sub_query.kind is SubQueryKind.hedge and not self._idle_slots():
+        if sub_query.kind is SubQueryKind.hedge and self._idle_slots() <= 0:
             return Reason.no_idle_slot
         finish = now + self._expected_wait() + self._least_run_time()
         if self._is_learned and finish > waiting.deadline:
@@ -380,17 +347,8 @@
     def _refuse(
         self, waiting: Waiting, reason: Reason, now: Instant
     ) -> SendReply:
-        reply = SubReply(
-            waiting.sub_query.id,
-            SubState.not_run,
-            reason,
-            None,
-            _EMPTY,
-            (now - waiting.queued_at) * _MS,
-            0,
-            self.view(now, with_holdings=reason is Reason.snapshot_gone),
-        )
-        return SendReply(waiting.sender, reply)
+        view = self.view(now, with_holdings=reason is Reason.snapshot_gone)
+        return refuse(waiting, reason, view, now)
 
     def _refuse_all(self, reason: Reason, now: Instant) -> list[UpstreamAction]:
         waiting = self._queue.pop_all()
@@ -402,7 +360,7 @@
             waiting = self._queue.peek()
             if waiting is None:
                 break
-            if not self._running_allows(waiting.sub_query.kind):
+            if not self._running.allow(waiting.sub_query.kind):
                 break
             number = self._pool.take_idle(now)
             if number is None:
@@ -411,7 +369,7 @@
                 )
                 break
             self._queue.remove(waiting.sub_query.id)
-            self._running[number] = _Running(waiting, now)
+            self._running.start(number, waiting, now)
             actions.append(
                 SendRequest(number, waiting.sub_query, waiting.deadline)
             )
@@ -424,82 +382,44 @@
             return False
         return self._idle_slots() > 0
 
-    def _running_allows(self, kind: SubQueryKind) -> bool:
-        # A canary has the upstream to itself, so that its death convicts it
-        # and nothing that ran beside it.
-        if not self._running:
-            return True
-        if kind is SubQueryKind.canary:
-            return False
-        return not any(
-            running.waiting.sub_query.kind is SubQueryKind.canary
-            for running in self._running.values()
-        )
-
     def _idle_slots(self) -> int:
-        limit = self._window.size - self._foreign.count
+        limit = self._cold_start.window.size - self._foreign.count
         return max(1, limit) - len(self._running) - self._foreign.ghosts
 
     def _least_run_time(self) -> Seconds:
-        return self._service_time.mean if self._is_learned else 0
+        return self._cold_start.service_time.mean if self._is_learned else 0
 
     def _expected_wait(self) -> Seconds:
-        width = max(1, self._window.size)
+        width = max(1, self._cold_start.window.size)
         ahead = len(self._queue) + max(0, len(self._running) - width + 1)
-        return ahead * self._service_time.mean / width
+        return ahead * self._cold_start.service_time.mean / width
 
     def _learn(
-        self, running: _Running, response: Response, now: Instant
+        self, running: Running, response: Response, now: Instant
     ) -> None:
         if response.is_draining or response.kind is ResponseKind.draining:
             self.health.record_in_band_drain(now)
         if response.kind in {ResponseKind.shed, ResponseKind.failed}:
-            self._window.record_failure(now)
+            self._cold_start.window.record_failure(now)
         if response.kind is not ResponseKind.answered:
             return
         self._quarantine.record_success(running.waiting.sub_query.fingerprint)
         elapsed = now - running.sent_at
-        is_jump = elapsed > self._jump_limit()
-        self._service_time.record(elapsed, now)
-        if self._service_time.is_trusted:
-            self._references.record(
-                self.upstream.service, self._service_time.reference
-            )
-        if not is_jump:
-            self._jumps = 0
-            self._window.record_success(now)
-        elif not running.is_jump_counted:
-            self._count_jump(now)
-
-    def _count_jump(self, now: Instant) -> None:
-        # One slow request is a straggler; two in a row are a cold upstream.
-        self._jumps += 1
-        if self._jumps >= _JUMPS_TO_SHRINK:
-            self._window.record_failure(now)
-
-    def _jump_limit(self) -> Seconds:
-        """Return the time above which a response is a latency jump."""
-        if self._service_time.is_trusted:
-            limit = _JUMP_FACTOR * self._service_time.reference
-            return max(_MIN_JUMP, limit)
-        siblings = self._references.lowest(self.upstream.service)
-        if siblings is None:
-            return float('inf')
-        return max(_MIN_JUMP, _JUMP_FACTOR_OF_SIBLINGS * siblings)
+        self._cold_start.record_answer(
+            elapsed, now, is_counted=running.is_jump_counted
+        )
 
     def _watch_running(self, now: Instant) -> list[UpstreamAction]:
         actions: list[UpstreamAction] = []
-        overdue = max(
-            _MIN_OVERDUE, _OVERDUE_FACTOR * self._service_time.reference
-        )
-        hopeless = max(
-            _MIN_HOPELESS, _HOPELESS_FACTOR * self._service_time.reference
-        )
-        for number, running in list(self._running.items()):
+        reference = self._cold_start.service_time.reference
+        overdue = max(_MIN_OVERDUE, _OVERDUE_FACTOR * reference)
+        hopeless = max(_MIN_HOPELESS, _HOPELESS_FACTOR * reference)
+        jump_limit = self._cold_start.jump_limit
+        for number, running in self._running:
             elapsed = now - running.sent_at
-            if elapsed > self._jump_limit() and not running.is_jump_counted:
+            if elapsed > jump_limit and not running.is_jump_counted:
                 running.is_jump_counted = True
-                self._count_jump(now)
+                self._cold_start.record_jump(now)
             if elapsed > overdue and not running.has_probed:
                 running.has_probed = True
                 actions.extend(self._pool.probe_idle(now, 0))
@@ -512,13 +432,13 @@
 
     def _give_up_overdue(self, now: Instant) -> list[UpstreamAction]:
         actions: list[UpstreamAction] = []
-        for number, running in list(self._running.items()):
+        for number, running in self._running:
             if running.has_probed:
                 actions.extend(self._give_up(number, now))
         return actions
 
     def _give_up(self, number: int, now: Instant) -> list[UpstreamAction]:
-        running = self._running.pop(number)
+        running = self._running.end(number)
         self._add_ghost(now)
         self._is_proven = False
         actions = self._pool.close(number)
@@ -526,41 +446,11 @@
         return actions
 
     def _add_ghost(self, now: Instant) -> None:
-        hold = _GHOST_FACTOR * self._service_time.reference
+        hold = _GHOST_FACTOR * self._cold_start.service_time.reference
         self._foreign.add_ghost(now, max(_MIN_GHOST, hold))
 
-    def _lose(self, running: _Running, now: Instant) -> SendReply:
-        reply = SubReply(
-            running.waiting.sub_query.id,
-            SubState.unknown,
-            Reason.connection_lost,
-            None,
-            _EMPTY,
-            (running.sent_at - running.waiting.queued_at) * _MS,
-            (now - running.sent_at) * _MS,
-            self.view(now, with_holdings=False),
-        )
-        return SendReply(running.waiting.sender, reply)
-
-    def _count_in_flight_at_death(self, now: Instant) -> int:
-        # The connections of one crash end one after the other; each request
-        # that was in flight with the others counts for all of them.
-        self._deaths = [
-            death for death in self._deaths if now - death < _SAME_CRASH
-        ]
-        return len(self._running) + len(self._deaths)
-
-    def _report_death(
-        self, running: _Running, in_flight: int, now: Instant
-    ) -> list[UpstreamAction]:
-        fingerprint = running.waiting.sub_query.fingerprint
-        self._quarantine.record_death(
-            fingerprint, self.upstream.id, in_flight, now
-        )
-        return [
-            RaiseSuspicion(self.upstream.id, fingerprint, in_flight),
-            self._lose(running, now),
-        ]
+    def _lose(self, running: Running, now: Instant) -> SendReply:
+        return lose(running, self.view(now, with_holdings=False), now)
 
     def _prove(self, now: Instant) -> None:
         """Note a sign of life."""
