--- a/src/sesametrack/callers/query.py
+++ b/src/sesametrack/callers/query.py
@@ -136,18 +136,23 @@
         self._restarts = 0
         self._is_canary_stage = False
         self.is_done = False
+        # Set when the time of the next wake-up may have come nearer.
+        self.is_rescheduled = True
+        # Bound once: each access to a singledispatchmethod makes a wrapper.
+        self._apply_event = self._apply
 
     def handle(self, event: QueryEvent, now: Instant) -> list[QueryAction]:
         """Apply an event and return the actions that follow from it."""
         if self.is_done:
             return []
-        actions = self._apply(event, now)
+        actions = self._apply_event(event, now)
         if not self.is_done:
             actions.extend(self._finish_if_due(now))
         return actions
 
     def wake_at(self, now: Instant) -> Instant:
         """Return when the query next has something to decide."""
+        self.is_rescheduled = False
         times = [self.deadline - _ANSWER_TIME]
         if self._service.rules.prefers is Preference.latency:
             target = self._started_at + self._service.rules.target
@@ -310,6 +315,7 @@
         )
         shard.attempts.append(attempt)
         shard.retry_at = None
+        self.is_rescheduled = True
         self._progress.attempts_by_id[attempt.id] = shard
         replica.outstanding += 1
         sub_query = SubQuery(
@@ -469,6 +475,7 @@
         shard.retry_at = None
         if now + pause < self.deadline - _ANSWER_TIME:
             shard.retry_at = now + pause
+            self.is_rescheduled = True
 
     def _retry(self, shard: ShardProgress, now: Instant) -> list[QueryAction]:
         # The plan may name replicas that came back in the meantime.
--- a/src/sesametrack/links/peers.py
+++ b/src/sesametrack/links/peers.py
@@ -17,11 +17,16 @@
     PeerMessage,
     Ping,
     Pong,
+    SubReply,
 )
 from sesametrack.contracts.types import Address, MemberId, Seconds
 
-HEARTBEAT: Seconds = 0.4
-_HEARTBEATS_TO_LOSS = 3
+# Entries notice a silent path: replies to their work prove both directions,
+# and only links without any are asked. A gate redials when its peer begins a
+# new session, so that its own heartbeats may be rare.
+ENTRY_HEARTBEAT: Seconds = 1
+GATE_HEARTBEAT: Seconds = 5
+_HEARTBEATS_TO_LOSS = 2
 # A peer that owes a sign of life is asked for one after the first time, and
 # is stalled after the second.
 _PING_AFTER: Seconds = 0.06
@@ -55,8 +60,11 @@
         hello: Hello,
         on_change: LinkHandler,
         on_unsent: UnsentHandler,
+        heartbeat: Seconds,
     ) -> None:
         """Bind the parts; `start` dials."""
+        self._interval = heartbeat
+        self._is_proved = False
         self.peer = peer
         self.address = address
         self.is_up = False
@@ -100,6 +108,15 @@
         """Answer a heartbeat at once, also on a link that is not up yet."""
         self._push([pong])
 
+    def record_reply(self) -> None:
+        """Note that the peer replied to what was sent on this link."""
+        self._is_proved = True
+        self._unanswered = 0
+
+    def redial(self) -> None:
+        """Begin a new session."""
+        self._lose(self._session)
+
     def ping(self) -> None:
         """Ask for a sign of life out of turn."""
         self._sequence += 1
@@ -169,7 +186,12 @@
 
     async def _run_heartbeat(self) -> None:
         while True:
-            await sleep(HEARTBEAT)
+            # A link that is not up yet is tried at the quicker pace.
+            pause = self._interval if self.is_up else ENTRY_HEARTBEAT
+            await sleep(pause)
+            if self._is_proved:
+                self._is_proved = False
+                continue
             self._unanswered += 1
             if self._unanswered > _HEARTBEATS_TO_LOSS:
                 self._lose(self._session)
@@ -293,6 +315,7 @@
         on_link_change: LinkHandler,
         on_unsent: UnsentHandler,
         on_session: LinkHandler,
+        heartbeat: Seconds,
     ) -> None:
         """Bind the handlers; `start` listens.
 
@@ -300,6 +323,7 @@
         daemon, before any message of it.
         """
         self._on_session = on_session
+        self._heartbeat = heartbeat
         self._hello = member_hello(me)
         self._on_message = on_message
         self._on_link_change = on_link_change
@@ -327,7 +351,12 @@
         if link is not None:
             link.close()
         link = PeerLink(
-            peer, address, self._hello, self._on_link_change, self._on_unsent
+            peer,
+            address,
+            self._hello,
+            self._on_link_change,
+            self._on_unsent,
+            self._heartbeat,
         )
         self._link_by_peer[peer] = link
         link.start()
@@ -392,6 +421,12 @@
         self._on_session(hello.member)
         self.connect(hello.member, hello.reply_to)
 
+    def redial(self, peer: MemberId) -> None:
+        """Begin a new session with a peer whose path may be silent."""
+        link = self._link_by_peer.get(peer)
+        if link is not None and link.is_up:
+            link.redial()
+
     def _take(
         self, member: MemberId, session: str, message: PeerMessage
     ) -> None:
@@ -405,4 +440,6 @@
             if link is not None:
                 link.take_pong(message)
             return
+        if isinstance(message, SubReply) and link is not None:
+            link.record_reply()
         self._on_message(member, message)
--- a/src/sesametrack/programs/entry.py
+++ b/src/sesametrack/programs/entry.py
@@ -58,7 +58,7 @@
 )
 from sesametrack.failure_domains.placement import Placement
 from sesametrack.links.http_server import HttpServer
-from sesametrack.links.peers import PeerHub
+from sesametrack.links.peers import ENTRY_HEARTBEAT, PeerHub
 from sesametrack.programs.callers import CallerEndpoint
 from sesametrack.programs.claimant import Claimant
 from sesametrack.programs.launch import run_daemon
@@ -69,7 +69,7 @@
 _FIRST_HEDGE_DELAY: Seconds = 0.05
 _RETRY_AFTER: Seconds = 1
 _NOTICE_INTERVAL: Seconds = 1
-_STALL_CHECK_INTERVAL: Seconds = 0.03
+_STALL_CHECK_INTERVAL: Seconds = 0.05
 _MAX_NOTICES = 8
 _HEDGE_BURST = 20
 # A lost gate takes what was in flight at all its upstreams with it.
@@ -90,6 +90,7 @@
             self._link_changed,
             self._take_unsent,
             self._begin_session,
+            ENTRY_HEARTBEAT,
         )
         self._server = HttpServer(
             settings.address,
@@ -388,6 +389,8 @@
         self._loop = get_running_loop()
         self._answer: Future[Answer] = self._loop.create_future()
         self._timer: TimerHandle | None = None
+        # Bound once: each access to a singledispatchmethod makes a wrapper.
+        self._act_on = self._act
 
     async def run(self) -> Answer:
         """Return the answer; cancels everything if the caller leaves."""
@@ -404,13 +407,17 @@
         """Drive the query with an event."""
         now = monotonic()
         for action in self._query.handle(event, now):
-            self._act(action)
-        self._stop_timer()
-        if not self._query.is_done:
+            self._act_on(action)
+        if self._query.is_done:
+            self._stop_timer()
+        elif self._timer is None or self._query.is_rescheduled:
+            # Waking too early is harmless, so most replies leave the timer.
+            self._stop_timer()
             pause = max(0, self._query.wake_at(now) - now)
             self._timer = self._loop.call_later(pause, self._wake)
 
     def _wake(self) -> None:
+        self._timer = None
         self.step(TimeReached())
 
     def _stop_timer(self) -> None:
--- a/src/sesametrack/programs/gate.py
+++ b/src/sesametrack/programs/gate.py
@@ -28,7 +28,7 @@
     UpstreamId,
 )
 from sesametrack.failure_domains.placement import Placement
-from sesametrack.links.peers import PeerHub
+from sesametrack.links.peers import GATE_HEARTBEAT, PeerHub
 from sesametrack.programs.keeper import UpstreamKeeper
 from sesametrack.programs.launch import run_daemon
 from sesametrack.programs.node import Node, NodeHandlers
@@ -44,7 +44,7 @@
 from sesametrack.upstreams.quarantine import Quarantine
 
 _TICK: Seconds = 0.02
-_LOAD_INTERVAL: Seconds = 0.5
+_LOAD_INTERVAL: Seconds = 1
 _NOTICE_INTERVAL: Seconds = 1
 _HANDOVER_TIME: Seconds = 1
 # A gate that lost an upstream serves it for this long unless the new gate
@@ -55,7 +55,7 @@
 # A gate of another failure domain uses an upstream only after it has been in
 # reach for this long: when a partition heals, its own gate is there first.
 _CARETAKER_TIME: Seconds = 2
-_IDLE_TICKS = 10
+_IDLE_TICKS = 25
 _MAX_NOTICES = 8
 _MS = 1000
 _log = getLogger('gate')
@@ -75,6 +75,7 @@
             self._link_changed,
             self._drop_unsent,
             self._begin_session,
+            GATE_HEARTBEAT,
         )
         self._quarantine = Quarantine()
         self._references = ServiceReferences()
@@ -263,7 +264,10 @@
                 self._ask_handover(upstream_id, owner)
 
     def _begin_session(self, peer: MemberId) -> None:
-        """Need nothing of a new session but its messages."""
+        # The peer may have begun it because replies no longer reach it.
+        # Gates do not answer each other's sessions, or it would never end.
+        if not peer.endswith(f'/{Role.gate.value}'):
+            self._hub.redial(peer)
 
     def _ask_handover(self, upstream_id: UpstreamId, owner: MemberId) -> None:
         self._hub.send(
--- a/src/sesametrack/programs/keeper.py
+++ b/src/sesametrack/programs/keeper.py
@@ -60,6 +60,8 @@
         self._control = UpstreamControl(upstream.address, self.step)
         self._connection_by_number: dict[int, UpstreamConnection] = {}
         self._is_closed = False
+        # Bound once: each access to a singledispatchmethod makes a wrapper.
+        self._act_on = self._act
 
     def start(self) -> None:
         """Open the control connection and the pool."""
@@ -88,7 +90,7 @@
         if self._is_closed:
             return
         for action in self.policy.handle(event, monotonic()):
-            self._act(action)
+            self._act_on(action)
 
     @singledispatchmethod
     def _act(self, action: UpstreamAction) -> None:
--- a/src/sesametrack/upstreams/connections.py
+++ b/src/sesametrack/upstreams/connections.py
@@ -17,7 +17,7 @@
 _CONTROL = 1
 # During a change of gates two of them may hold connections at once.
 _GATES_AT_ONCE = 2
-_PROBE_AFTER_IDLE: Seconds = 1
+_PROBE_AFTER_IDLE: Seconds = 2
 _PROBE_TIMEOUT: Seconds = 0.15
 _OPEN_TIMEOUT: Seconds = 1
 _MIN_BACKOFF: Seconds = 0.05
--- a/src/sesametrack/upstreams/policy.py
+++ b/src/sesametrack/upstreams/policy.py
@@ -109,12 +109,14 @@
         self._settle_time = settle_time
         self._is_proven = False
         self._published: tuple = ()
+        # Bound once: each access to a singledispatchmethod makes a wrapper.
+        self._apply_event = self._apply
 
     def handle(
         self, event: UpstreamEvent, now: Instant
     ) -> list[UpstreamAction]:
         """Apply an event and return the actions that follow from it."""
-        actions = self._apply(event, now)
+        actions = self._apply_event(event, now)
         actions.extend(self._dispatch(now))
         self._foreign.record_own(len(self._running), now)
         actions.extend(self._publish(now))
--- a/src/sesametrack/vms/membership.py
+++ b/src/sesametrack/vms/membership.py
@@ -88,6 +88,8 @@
         self._relays: dict[int, _Relay] = {}
         self._ticked_at: Instant = 0
         self._next_probe_at: Instant = 0
+        # Bound once: each access to a singledispatchmethod makes a wrapper.
+        self._apply_event = self._apply
         self._next_reconnect_at: Instant = 0
 
     def handle(
@@ -95,7 +97,7 @@
     ) -> list[MembershipAction]:
         """Apply an event and return the actions that follow from it."""
         before = self._table.usable()
-        actions = self._apply(event, now)
+        actions = self._apply_event(event, now)
         if self._table.usable() != before:
             actions.append(MembersChanged())
         return actions
