--- a/src/sesametrack/callers/query.py
+++ b/src/sesametrack/callers/query.py
@@ -389,7 +389,7 @@
             return self._recover(shard, attempt, now)
         shard.reply = reply
         shard.retry_at = None
-        self._service.hedge_delay.record(now - attempt.sent_at, now)
+        self._service.hedge_delay.record(now - _begun_at(shard, attempt), now)
         self._context.quarantine.record_success(self._request.fingerprint)
         actions = _cancel_all(shard.pending)
         if self._is_canary_stage:
@@ -671,3 +671,16 @@
             cancel = Cancel(attempt.id, attempt.upstream)
             actions.append(SendCancel(attempt.gate, cancel))
     return actions
+
+
+def _begun_at(shard: ShardProgress, attempt: Attempt) -> Instant:
+    """Return when the wait began that an answer ended.
+
+    A hedge that wins says of the attempt before it that it took longer;
+    without that, stragglers would vanish from the quantile, which would fall
+    until the budget is spent on ordinary sub-queries.
+    """
+    if attempt.kind is not SubQueryKind.hedge:
+        return attempt.sent_at
+    number = shard.attempts.index(attempt)
+    return shard.attempts[number - 1].sent_at
--- a/src/sesametrack/vms/members.py
+++ b/src/sesametrack/vms/members.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from heapq import nsmallest
 from math import ceil, log2
 
 from sesametrack.contracts.members import Member, MemberState, Update
@@ -48,12 +49,19 @@
 
 
 class MemberTable:
-    """Beliefs by member id, and the updates still to be passed on."""
+    """Beliefs by member id, and the updates still to be passed on.
+
+    Views of the table are kept until a belief changes, so that a tick costs
+    the same at any number of members.
+    """
 
     def __init__(self) -> None:
         """Start without members."""
         self.by_id: dict[MemberId, Belief] = {}
         self._sends_by_id: dict[MemberId, int] = {}
+        self._suspects: set[MemberId] = set()
+        self._usable: dict[MemberId, Member] | None = None
+        self._reachable: dict[MemberId, Member] | None = None
 
     def __iter__(self) -> Iterator[Belief]:
         """Iterate over all beliefs."""
@@ -71,10 +79,7 @@
                 return False
         elif update.state is MemberState.dead:
             return False
-        self.by_id[update.member.id] = Belief(
-            update.member, update.incarnation, update.state, now
-        )
-        self._sends_by_id[update.member.id] = 0
+        self._set(Belief(update.member, update.incarnation, update.state, now))
         return True
 
     def forget_old(self, now: Instant) -> None:
@@ -84,12 +89,18 @@
                 self.by_id.pop(belief.member.id)
                 self._sends_by_id.pop(belief.member.id, None)
 
+    def suspects(self) -> list[Belief]:
+        """Return the beliefs about suspected members."""
+        return [self.by_id[known] for known in self._suspects]
+
     def next_updates(self, most: int) -> list[Update]:
         """Return the updates least often sent, and count them as sent."""
         limit = _RETRANSMIT_FACTOR * ceil(log2(len(self.by_id) + 2))
-        chosen = sorted(self._sends_by_id, key=self._sends_by_id.__getitem__)
+        chosen = nsmallest(
+            most, self._sends_by_id, key=self._sends_by_id.__getitem__
+        )
         updates = []
-        for member_id in chosen[:most]:
+        for member_id in chosen:
             updates.append(self.by_id[member_id].as_update())
             self._sends_by_id[member_id] += 1
             if self._sends_by_id[member_id] >= limit:
@@ -98,16 +109,30 @@
 
     def reachable(self) -> dict[MemberId, Member]:
         """Return the members to gossip with."""
-        return {
-            belief.member.id: belief.member
-            for belief in self
-            if belief.is_reachable
-        }
+        if self._reachable is None:
+            self._reachable = {
+                belief.member.id: belief.member
+                for belief in self
+                if belief.is_reachable
+            }
+        return self._reachable
 
     def usable(self) -> dict[MemberId, Member]:
         """Return the members that may get work."""
-        return {
-            belief.member.id: belief.member
-            for belief in self
-            if belief.is_usable
-        }
+        if self._usable is None:
+            self._usable = {
+                belief.member.id: belief.member
+                for belief in self
+                if belief.is_usable
+            }
+        return self._usable
+
+    def _set(self, belief: Belief) -> None:
+        member_id = belief.member.id
+        self.by_id[member_id] = belief
+        self._sends_by_id[member_id] = 0
+        self._suspects.discard(member_id)
+        if belief.state is MemberState.suspect:
+            self._suspects.add(member_id)
+        self._usable = None
+        self._reachable = None
--- a/src/sesametrack/vms/membership.py
+++ b/src/sesametrack/vms/membership.py
@@ -98,7 +98,9 @@
         """Apply an event and return the actions that follow from it."""
         before = self._table.usable()
         actions = self._apply_event(event, now)
-        if self._table.usable() != before:
+        after = self._table.usable()
+        # The same object means that no belief has changed.
+        if after is not before and after != before:
             actions.append(MembersChanged())
         return actions
 
@@ -146,12 +148,12 @@
         self._ticked_at = now
         actions.extend(self._check_pending(now))
         self._expire_suspects(now)
-        self._table.forget_old(now)
         if now >= self._next_probe_at:
             self._next_probe_at = now + PROBE_INTERVAL
             actions.extend(self._probe_next(now))
         if now >= self._next_reconnect_at:
             self._next_reconnect_at = now + _RECONNECT_INTERVAL
+            self._table.forget_old(now)
             actions.extend(self._reconnect(now))
         return actions
 
@@ -370,9 +372,8 @@
     def _expire_suspects(self, now: Instant) -> None:
         doublings = log2(len(self._table.by_id) + 1)
         limit = _MIN_SUSPICION + _SUSPICION_PER_DOUBLING * doublings
-        for belief in list(self._table):
-            is_suspect = belief.state is MemberState.suspect
-            if is_suspect and now - belief.since >= limit:
+        for belief in self._table.suspects():
+            if now - belief.since >= limit:
                 self._table.apply(
                     Update(belief.member, belief.incarnation, MemberState.dead),
                     now,
