--- a/src/sesametrack/callers/query.py
+++ b/src/sesametrack/callers/query.py
@@ -484,6 +484,8 @@
             for fresh in plan.shards:
                 if fresh.key_range == shard.plan.key_range:
                     shard.plan = fresh
+        if not self._holders(shard):
+            return self._restart(shard, now)
         is_free = shard.reason in _FREE_RETRIES or not shard.attempts
         if not is_free and not self._service.retries.take():
             self._plan_retry(shard, shard.reason, now)
@@ -509,7 +511,7 @@
         plan = self._context.table.plan(self._request.service)
         is_newer = plan is not None and plan.snapshot != self._plan.snapshot
         if not is_newer or self._restarts >= _MAX_RESTARTS:
-            self._plan_retry(shard, Reason.snapshot_gone, now)
+            self._plan_retry(shard, shard.reason, now)
             return []
         if self._has_run_non_repeatable():
             return []
--- a/src/sesametrack/programs/keeper.py
+++ b/src/sesametrack/programs/keeper.py
@@ -24,11 +24,18 @@
     SendRequest,
     UpstreamAction,
 )
-from sesametrack.upstreams.events import Ticked, UpstreamEvent
+from sesametrack.upstreams.events import (
+    Responded,
+    ResponseKind,
+    Ticked,
+    UpstreamEvent,
+)
 from sesametrack.upstreams.latency import ServiceReferences
 from sesametrack.upstreams.policy import UpstreamPolicy
 from sesametrack.upstreams.quarantine import Quarantine
 
+_CHANGES = frozenset((ResponseKind.snapshot_gone, ResponseKind.draining))
+
 
 class UpstreamKeeper:
     """Drives the policy of one upstream and carries out its actions."""
@@ -89,6 +96,8 @@
         """Drive the policy with an event."""
         if self._is_closed:
             return
+        if _shows_change(event):
+            self._control.poll()
         for action in self.policy.handle(event, monotonic()):
             self._act_on(action)
 
@@ -157,3 +166,10 @@
             refusal=self.policy.health.refusal(monotonic()).value,
             connections=self.policy.connections,
         )
+
+
+def _shows_change(event: UpstreamEvent) -> bool:
+    """Tell whether a response says that the last load report is outdated."""
+    if not isinstance(event, Responded):
+        return False
+    return event.response.kind in _CHANGES
--- a/tests/test_query.py
+++ b/tests/test_query.py
@@ -328,6 +328,22 @@
         self.assertTrue(world.answer.coverage.complete)
         check_answer(self, world)
 
+    def test_snapshot_that_no_replica_holds_is_replaced(self) -> None:
+        """A shard without holders moves the whole query to a newer one."""
+        world = QueryWorld()
+        for copy in range(2):
+            world.hold(f'find-1-{copy}', [])
+        world.start()
+        for sub_query in list(world.sent):
+            world.reply(sub_query, SubState.answered)
+        for upstream in world.inventory.upstream_by_id:
+            world.hold(upstream, [NEWER])
+        world.advance()
+        for sub_query in world.sent[2:]:
+            world.reply(sub_query, SubState.answered)
+        self.assertEqual(NEWER, world.answer.snapshot)
+        self.assertTrue(world.answer.coverage.complete)
+
     def test_suspect_never_goes_to_the_last_replica(self) -> None:
         """After one replica died, the other one is spared."""
         world = QueryWorld(shards=1)
