--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -115,6 +115,23 @@
 )
 
 
+_SMALL = _Site(
+    'small',
+    'test',
+    '127.3',
+    ('north', 'south'),
+    (ShardedService('find', 4, 2, 25),),
+    (WholeService('pay', 2, 3, 50),),
+    4,
+)
+
+
+def small() -> Deployment:
+    """Return a small site, for tests."""
+    rules = Rules(default=ServiceRules(deadline_ms=1500))
+    return _make(_SMALL, rules)
+
+
 def registry() -> Deployment:
     """Return the registry's deployment: coverage before latency."""
     rules = Rules(
