--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -56,11 +56,13 @@
 ) -> Figures:
     rate = _RATE.value or scenario.rate
     duration = _DURATION.value or scenario.duration
+    run = Run(cluster, Random(seed), duration)
+    if scenario.prepare is not None:
+        await scenario.prepare(run)
     warm_up = scenario.make_source(Random(seed + 1))
     await run_load(balancer, warm_up, _WARM_UP_RATE, _WARM_UP_S, seed)
     await cluster.reset_reports()
     cpu_before = _cpu(cluster)
-    run = Run(cluster, Random(seed), duration)
     script = create_task(scenario.script(run))
     source = scenario.make_source(Random(seed))
     results = await run_load(balancer, source, rate, duration, seed)
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -41,7 +41,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Scenario:
-    """A scenario; `rate` is in requests a second, `duration` in seconds."""
+    """A scenario; `rate` is in requests a second, `duration` in seconds.
+
+    `prepare` runs before the warm-up, `script` during the load.
+    """
 
     name: str
     purpose: str
@@ -50,6 +53,7 @@
     rate: float
     duration: float
     script: Script
+    prepare: Script | None = None
 
 
 def registry_mix(rng: Random) -> Source:
@@ -336,6 +340,7 @@
         association_mix,
         80,
         15,
+        idle,
         slow_service,
     ),
     Scenario(
@@ -345,6 +350,7 @@
         association_mix,
         40,
         15,
+        idle,
         slow_service,
     ),
     Scenario(
--- a/src/sesametrack/upstreams/latency.py
+++ b/src/sesametrack/upstreams/latency.py
@@ -11,6 +11,10 @@
 # gone cold is not taken for one that is just slower now.
 _RISE_PER_SECOND = 0.05
 _SAMPLES_TO_TRUST = 8
+# An upstream that has answered this many times slower for this long is taken
+# to be slower now: a cold start does not last so long at one request in flight.
+_SLOWER = 1.5
+_ACCEPT_AFTER: Seconds = 5
 
 
 class ServiceTime:
@@ -26,6 +30,7 @@
         self._reference: Seconds | None = None
         self._samples = 0
         self._referred_at = now
+        self._slow_since = now
 
     @property
     def is_trusted(self) -> bool:
@@ -53,6 +58,10 @@
             return
         if self._reference is None:
             self._reference = self.mean
+        if self.mean <= _SLOWER * self._reference:
+            self._slow_since = now
+        elif now - self._slow_since > _ACCEPT_AFTER:
+            self._reference = self.mean
         rise = exp(_RISE_PER_SECOND * (now - self._referred_at))
         self._reference = min(self.mean, self._reference * rise)
         self._referred_at = now
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -249,6 +249,17 @@
             world.respond(next(iter(world.running)))
         self.assertEqual(1, world.policy.window_size)
 
+    def test_lasting_slowness_is_accepted(self) -> None:
+        """An upstream that stays slower is not held at one for ever."""
+        world = UpstreamWorld()
+        world.warm_up()
+        for number in range(60):
+            world.offer(number)
+            world.pass_time(0.2)
+            for connection in list(world.running):
+                world.respond(connection)
+        self.assertEqual(2, world.policy.window_size)
+
     def test_reports_only_lower(self) -> None:
         """A report of an idle, warm upstream does not widen the window."""
         world = UpstreamWorld()
