--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 
 lint: install
 	$(VENV)/bin/ruff format --check $(SOURCES)
+	$(VENV)/bin/ruff check --quiet --select I $(SOURCES)
 	$(VENV)/bin/flake8 $(SOURCES)
 	$(VENV)/bin/lint-imports
 
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -12,9 +12,10 @@
 from msgspec.msgpack import Decoder, Encoder
 
 from sesametrack.callers.budget import ShareBudget
+from sesametrack.callers.context import QueryContext, ServiceState
 from sesametrack.callers.events import ReplyArrived, SendSubQuery, Started
 from sesametrack.callers.latency import LatencyQuantile
-from sesametrack.callers.query import Query, QueryContext, ServiceState
+from sesametrack.callers.query import Query
 from sesametrack.callers.replicas import ReplicaTable
 from sesametrack.configuration.parts import (
     cut_parts,
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -7,7 +7,8 @@
 from pathlib import Path
 
 from absl import app
-from msgspec.json import encode, format as format_json
+from msgspec.json import encode
+from msgspec.json import format as format_json
 
 from sesametrack.contracts.inventory import (
     FailureDomainModel,
--- a/src/sesametrack/callers/query.py
+++ b/src/sesametrack/callers/query.py
@@ -2,13 +2,9 @@
 
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
-from random import Random
-
-from msgspec import Raw
 
 from sesametrack.callers.attempts import Attempt, ShardProgress
-from sesametrack.callers.budget import ShareBudget
-from sesametrack.callers.coverage import count_coverage
+from sesametrack.callers.context import QueryContext, ServiceState
 from sesametrack.callers.events import (
     CallerLeft,
     DeliverAnswer,
@@ -23,9 +19,9 @@
     Started,
     TimeReached,
 )
-from sesametrack.callers.latency import LatencyQuantile
-from sesametrack.callers.replicas import Replica, ReplicaTable, SnapshotPlan
-from sesametrack.contracts.answers import Answer, ShardAnswer, Timing
+from sesametrack.callers.gathering import build_answer
+from sesametrack.callers.replicas import Replica, SnapshotPlan
+from sesametrack.contracts.answers import Answer
 from sesametrack.contracts.messages import (
     Cancel,
     SubQuery,
@@ -33,9 +29,9 @@
     SubReply,
     SubState,
 )
-from sesametrack.contracts.outcomes import Outcome, Reason
+from sesametrack.contracts.outcomes import Reason
 from sesametrack.contracts.requests import QueryRequest
-from sesametrack.contracts.rules import Preference, ServiceRules
+from sesametrack.contracts.rules import Preference
 from sesametrack.contracts.snapshots import Holding
 from sesametrack.contracts.types import (
     Instant,
@@ -43,7 +39,6 @@
     Seconds,
     UpstreamId,
 )
-from sesametrack.upstreams.quarantine import Quarantine
 
 _MS: Milliseconds = 1000
 # Time kept back before the deadline to build and send the answer.
@@ -70,34 +65,6 @@
 )
 
 
-@dataclass(slots=True)
-class ServiceState:
-    """What the queries of one service share at one entry."""
-
-    rules: ServiceRules
-    hedge_delay: LatencyQuantile
-    hedges: ShareBudget
-    retries: ShareBudget
-
-
-@dataclass(slots=True)
-class QueryContext:
-    """What all queries share at one entry."""
-
-    table: ReplicaTable
-    quarantine: Quarantine
-    rng: Random
-    is_learned: bool = True
-    sent: int = 0
-    needed: int = 0
-    id_prefix: str = ''
-
-    def next_id(self) -> str:
-        """Return a new sub-query id, unique over processes and restarts."""
-        self.sent += 1
-        return f'{self.id_prefix}-{self.sent:x}'
-
-
 @dataclass(slots=True)
 class _Progress:
     shards: list[ShardProgress] = field(default_factory=list)
@@ -640,45 +607,15 @@
         return actions
 
     def _build_answer(self, now: Instant, reason: Reason) -> Answer:
-        answered = [
-            shard for shard in self._progress.shards if shard.is_answered
-        ]
-        missing = [
-            (shard.plan.key_range, shard.missing_reason())
-            for shard in self._progress.shards
-            if not shard.is_answered
-        ]
-        coverage = count_coverage(
-            [shard.plan.key_range for shard in answered], missing
-        )
-        is_enough = coverage.share >= self._service.rules.least_coverage
-        if answered and is_enough:
-            outcome = Outcome.ran
-        else:
-            may_have_run = any(
-                attempt.may_have_run for attempt in self._all_attempts()
-            )
-            outcome = Outcome.unknown if may_have_run else Outcome.not_run
-        if outcome is not Outcome.ran and reason is Reason.none and missing:
-            reason = missing[0][1]
-        replies = [shard.reply for shard in answered]
-        return Answer(
+        attempts = self._all_attempts()
+        return build_answer(
             self._request.request_id,
-            outcome,
             self._plan.snapshot if self._plan else None,
-            coverage,
-            [
-                ShardAnswer(shard.plan.key_range, Raw(shard.reply.body))
-                for shard in answered
-            ]
-            if outcome is Outcome.ran
-            else [],
-            Timing(
-                (now - self._started_at) * _MS,
-                max((reply.queue_ms for reply in replies), default=0),
-                max((reply.run_ms for reply in replies), default=0),
-            ),
-            reason,
+            self._progress.shards,
+            least_coverage=self._service.rules.least_coverage,
+            may_have_run=any(attempt.may_have_run for attempt in attempts),
+            elapsed=now - self._started_at,
+            reason=reason,
         )
 
 
--- a/src/sesametrack/programs/entry.py
+++ b/src/sesametrack/programs/entry.py
@@ -18,6 +18,7 @@
 
 from sesametrack.callers.admission import Admission
 from sesametrack.callers.budget import ShareBudget
+from sesametrack.callers.context import QueryContext, ServiceState
 from sesametrack.callers.events import (
     CallerLeft,
     DeliverAnswer,
@@ -33,7 +34,7 @@
     TimeReached,
 )
 from sesametrack.callers.latency import LatencyQuantile
-from sesametrack.callers.query import Query, QueryContext, ServiceState
+from sesametrack.callers.query import Query
 from sesametrack.callers.replicas import ReplicaTable
 from sesametrack.configuration.parts import Configuration
 from sesametrack.contracts.answers import Answer
@@ -58,7 +59,8 @@
 )
 from sesametrack.failure_domains.placement import Placement
 from sesametrack.links.http_server import HttpServer
-from sesametrack.links.peers import ENTRY_HEARTBEAT, PeerHub
+from sesametrack.links.hub import PeerHub
+from sesametrack.links.peers import ENTRY_HEARTBEAT
 from sesametrack.programs.callers import CallerEndpoint
 from sesametrack.programs.claimant import Claimant
 from sesametrack.programs.launch import run_daemon
--- a/src/sesametrack/programs/gate.py
+++ b/src/sesametrack/programs/gate.py
@@ -28,7 +28,8 @@
     UpstreamId,
 )
 from sesametrack.failure_domains.placement import Placement
-from sesametrack.links.peers import GATE_HEARTBEAT, PeerHub
+from sesametrack.links.hub import PeerHub
+from sesametrack.links.peers import GATE_HEARTBEAT
 from sesametrack.programs.keeper import UpstreamKeeper
 from sesametrack.programs.launch import run_daemon
 from sesametrack.programs.node import Node, NodeHandlers
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,7 +1,8 @@
 """Runs all tests and closes with the line 'N passed, N failed'."""
 
 from pathlib import Path
-from sys import argv, exit as exit_process, stdout
+from sys import argv, stdout
+from sys import exit as exit_process
 from unittest import TestSuite, TextTestRunner, defaultTestLoader
 
 from hypothesis import settings
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -13,7 +13,8 @@
     Hello,
     PeerMessage,
 )
-from sesametrack.links.peers import ENTRY_HEARTBEAT, PeerHub
+from sesametrack.links.hub import PeerHub
+from sesametrack.links.peers import ENTRY_HEARTBEAT
 
 _PATIENCE_S = 10
 
--- a/tests/test_query.py
+++ b/tests/test_query.py
@@ -8,6 +8,7 @@
 from testtools import TestCase
 
 from sesametrack.callers.budget import ShareBudget
+from sesametrack.callers.context import QueryContext, ServiceState
 from sesametrack.callers.events import (
     DeliverAnswer,
     LinkLost,
@@ -20,7 +21,7 @@
     TimeReached,
 )
 from sesametrack.callers.latency import LatencyQuantile
-from sesametrack.callers.query import Query, QueryContext, ServiceState
+from sesametrack.callers.query import Query
 from sesametrack.callers.replicas import ReplicaTable
 from sesametrack.contracts.answers import Answer
 from sesametrack.contracts.messages import SubQuery, SubReply, SubState
