--- a/src/sesametrack/programs/entry.py
+++ b/src/sesametrack/programs/entry.py
@@ -1,16 +1,6 @@
 """The entry daemon: takes callers' requests and gathers answers."""
 
-from asyncio import (
-    CancelledError,
-    Future,
-    Task,
-    TimerHandle,
-    create_task,
-    get_running_loop,
-    shield,
-    sleep,
-)
-from functools import singledispatchmethod
+from asyncio import Task, create_task, shield, sleep
 from secrets import token_hex
 from time import monotonic
 
@@ -20,18 +10,11 @@
 from sesametrack.callers.budget import ShareBudget
 from sesametrack.callers.context import QueryContext, ServiceState
 from sesametrack.callers.events import (
-    CallerLeft,
-    DeliverAnswer,
     GateStalled,
     LinkLost,
     NeverSent,
-    QueryAction,
-    QueryEvent,
     ReplyArrived,
     SendCancel,
-    SendSubQuery,
-    Started,
-    TimeReached,
 )
 from sesametrack.callers.latency import LatencyQuantile
 from sesametrack.callers.query import Query
@@ -65,6 +48,7 @@
 from sesametrack.programs.claimant import Claimant
 from sesametrack.programs.launch import run_daemon
 from sesametrack.programs.node import Node, NodeHandlers
+from sesametrack.programs.runner import QueryRunner
 from sesametrack.upstreams.quarantine import Quarantine
 
 _HEDGE_PERCENTILE = 97
@@ -244,7 +228,7 @@
         return answer
 
     def send(
-        self, runner: 'QueryRunner', gate: MemberId, sub_query: SubQuery
+        self, runner: QueryRunner, gate: MemberId, sub_query: SubQuery
     ) -> None:
         """Send a sub-query for a runner."""
         self._runner_by_sub_query[sub_query.id] = runner
@@ -382,71 +366,6 @@
         }
 
 
-class QueryRunner:
-    """Drives one query: its timer, its sub-queries and its answer."""
-
-    def __init__(self, query: Query, entry: Entry) -> None:
-        """Bind the query; `run` starts it."""
-        self.sub_queries: list[SubQueryId] = []
-        self._query = query
-        self._entry = entry
-        self._loop = get_running_loop()
-        self._answer: Future[Answer] = self._loop.create_future()
-        self._timer: TimerHandle | None = None
-        # Bound once: each access to a singledispatchmethod makes a wrapper.
-        self._act_on = self._act
-
-    async def run(self) -> Answer:
-        """Return the answer; cancels everything if the caller leaves."""
-        self.step(Started())
-        try:
-            return await self._answer
-        except CancelledError:
-            self.step(CallerLeft())
-            raise
-        finally:
-            self._stop_timer()
-
-    def step(self, event: QueryEvent) -> None:
-        """Drive the query with an event."""
-        now = monotonic()
-        for action in self._query.handle(event, now):
-            self._act_on(action)
-        if self._query.is_done:
-            self._stop_timer()
-        elif self._timer is None or self._query.is_rescheduled:
-            # Waking too early is harmless, so most replies leave the timer.
-            self._stop_timer()
-            pause = max(0, self._query.wake_at(now) - now)
-            self._timer = self._loop.call_later(pause, self._wake)
-
-    def _wake(self) -> None:
-        self._timer = None
-        self.step(TimeReached())
-
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-
-    @singledispatchmethod
-    def _act(self, action: QueryAction) -> None:
-        raise NotImplementedError(type(action).__name__)
-
-    @_act.register
-    def _send(self, action: SendSubQuery) -> None:
-        self.sub_queries.append(action.sub_query.id)
-        self._entry.send(self, action.gate, action.sub_query)
-
-    @_act.register
-    def _cancel(self, action: SendCancel) -> None:
-        self._entry.cancel(action)
-
-    @_act.register
-    def _deliver(self, action: DeliverAnswer) -> None:
-        if not self._answer.done():
-            self._answer.set_result(action.answer)
-
-
 def _make_state(rules: ServiceRules) -> ServiceState:
     return ServiceState(
         rules,
