Try a hedge again that found no idle slot or no budget

Change: up to three tries, each after another hedge delay; only replicas that run the sub-query, or may have, are avoided.

--- a/src/sesametrack/callers/attempts.py
+++ b/src/sesametrack/callers/attempts.py
@@ -45,7 +45,8 @@
     attempts: list[Attempt] = field(default_factory=list)
     reply: SubReply | None = None
     reason: Reason = Reason.none
-    has_hedged: bool = False
+    hedge_tries: int = 0
+    hedge_tried_at: Instant | None = None
     retry_at: Instant | None = None
     failures: int = 0
 
@@ -66,6 +67,23 @@
             not self.is_answered and self.retry_at is None and not self.pending
         )
 
+    @property
+    def waits_since(self) -> Instant:
+        """When the last attempt, or a refused hedge, was made."""
+        sent_at = self.attempts[-1].sent_at
+        if self.hedge_tried_at is None:
+            return sent_at
+        return max(sent_at, self.hedge_tried_at)
+
+    @property
+    def engaged(self) -> set[UpstreamId]:
+        """Upstreams that run a sub-query of the shard, or may have."""
+        return {
+            attempt.upstream
+            for attempt in self.attempts
+            if attempt.may_have_run
+        }
+
     @property
     def tried(self) -> set[UpstreamId]:
         """Upstreams that an attempt went to."""
--- a/src/sesametrack/callers/query.py
+++ b/src/sesametrack/callers/query.py
@@ -48,6 +48,7 @@
 _MAX_PAUSE: Seconds = 0.25
 _MAX_RESTARTS = 4
 _CANARY_REPLICAS = 2
+_MAX_HEDGE_TRIES = 3
 
 # These refusals say that another replica must do the work and that the
 # refusing one is not overloaded, so that a retry costs no budget.
@@ -129,8 +130,7 @@
             if shard.retry_at is not None:
                 times.append(shard.retry_at)
             elif self._may_hedge(shard):
-                sent_at = shard.attempts[-1].sent_at
-                times.append(sent_at + self._hedge_delay(now))
+                times.append(shard.waits_since + self._hedge_delay(now))
         return min(times)
 
     @singledispatchmethod
@@ -308,9 +308,11 @@
                 known for known in replicas if table.by_id[known].is_usable
             ]
             return table.by_id[usable[0]] if usable else None
-        fresh = [known for known in replicas if known not in shard.tried]
+        is_hedge = kind is SubQueryKind.hedge
+        avoided = shard.engaged if is_hedge else shard.tried
+        fresh = [known for known in replicas if known not in avoided]
         replica = table.choose(fresh, self._context.rng, now)
-        if replica is None and kind is not SubQueryKind.hedge:
+        if replica is None and not is_hedge:
             busy = {attempt.upstream for attempt in shard.pending}
             others = [known for known in replicas if known not in busy]
             replica = table.choose(others, self._context.rng, now)
@@ -518,7 +520,7 @@
             and self._request.repeatable
             and not self._is_canary_stage
             and not shard.is_answered
-            and not shard.has_hedged
+            and shard.hedge_tries < _MAX_HEDGE_TRIES
             and len(shard.plan.replicas) > 1
             and len(shard.pending) == 1
         )
@@ -529,13 +531,14 @@
     def _is_hedge_due(self, shard: ShardProgress, now: Instant) -> bool:
         if not self._may_hedge(shard):
             return False
-        return now >= shard.attempts[-1].sent_at + self._hedge_delay(now)
+        return now >= shard.waits_since + self._hedge_delay(now)
 
     def _hedge(self, shard: ShardProgress, now: Instant) -> list[QueryAction]:
-        shard.has_hedged = True
-        fresh = [
-            known for known in shard.plan.replicas if known not in shard.tried
-        ]
+        # A hedge that finds no idle slot or no budget is tried again later.
+        shard.hedge_tries += 1
+        shard.hedge_tried_at = now
+        self.is_rescheduled = True
+        fresh = set(self._holders(shard)) - shard.engaged
         by_id = self._context.table.by_id
         has_idle = any(
             known in by_id and by_id[known].idle_slots > 0 for known in fresh
--- a/tests/test_query.py
+++ b/tests/test_query.py
@@ -294,6 +294,16 @@
         self.assertTrue(world.answer.coverage.complete)
         self.assertEqual([world.sent[0].id], world.cancelled)
 
+    def test_refused_hedge_is_tried_again(self) -> None:
+        """A hedge that found no idle slot is repeated a little later."""
+        world = QueryWorld(shards=1)
+        world.start()
+        world.advance()
+        world.reply(world.sent[1], SubState.not_run, Reason.no_idle_slot)
+        world.advance()
+        self.assertEqual(3, len(world.sent))
+        self.assertEqual(world.sent[1].upstream, world.sent[2].upstream)
+
     def test_lost_shard_is_missing_with_its_reason(self) -> None:
         """Without a replica the answer is partial and says why."""
         world = QueryWorld()
