--- a/src/sesametrack/callers/latency.py
+++ b/src/sesametrack/callers/latency.py
@@ -11,10 +11,6 @@
 _WINDOW: Seconds = 10
 _REFRESH: Seconds = 0.25
 _MIN_SAMPLES = 50
-_MEDIAN = 50
-# What waits behind a straggler is late as well, and would raise the quantile
-# that is to find stragglers; the budget bounds the hedges in any case.
-_MOST_MEDIANS = 3
 
 
 class LatencyQuantile:
@@ -48,17 +44,12 @@
 
     def _compute(self) -> Seconds:
         values = [
-            self._bounded_quantile(histogram)
+            histogram.get_value_at_percentile(self._percentile) / _US
             for histogram in (self._current, self._previous)
             if histogram.get_total_count() >= _MIN_SAMPLES
         ]
         return max(values) if values else self._initial
 
-    def _bounded_quantile(self, histogram: HdrHistogram) -> Seconds:
-        quantile = histogram.get_value_at_percentile(self._percentile)
-        median = histogram.get_value_at_percentile(_MEDIAN)
-        return min(quantile, _MOST_MEDIANS * median) / _US
-
 
 def _new_histogram() -> HdrHistogram:
     return HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
--- a/src/sesametrack/upstreams/coldstart.py
+++ b/src/sesametrack/upstreams/coldstart.py
@@ -8,8 +8,7 @@
 # upstream that is new to this gate is judged by its siblings, more widely.
 _JUMP_FACTOR = 2.5
 _JUMP_FACTOR_OF_SIBLINGS = 5
-# Pauses of a busy host reach this without any coldness.
-_MIN_JUMP: Seconds = 0.02
+_MIN_JUMP: Seconds = 0.01
 # One slow request is a straggler; two in a row are a cold upstream.
 _JUMPS_TO_SHRINK = 2
 
