--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from sesametrack.contracts.members import MemberState, Notice, Versions
+from sesametrack.contracts.members import Member, MemberState, Notice, Versions
 from sesametrack.vms.events import (
     AddressesLearned,
     GossipReceived,
@@ -58,6 +58,10 @@
             self.act(member.id, membership.handle(event, self.now))
         return membership
 
+    def add_address(self, member: Member) -> None:
+        """Let datagrams for a member find it."""
+        self._id_by_address[member.gossip] = member.id
+
     def act(self, sender: str, actions: list) -> None:
         """Carry out a member's actions."""
         for action in actions:
@@ -218,6 +222,23 @@
         ]
         self.assertEqual([], behind)
 
+    def test_joining_member_gets_no_work(self) -> None:
+        """It gossips, and counts for placement only after its join."""
+        network = Network(4, 9)
+        network.run(5)
+        member = make_member('late')
+        late = Membership(member, 1, Random(1))
+        network.by_id[member.id] = late
+        network.add_address(member)
+        seeds = AddressesLearned(frozenset((make_member('vm0').gossip,)))
+        network.act(member.id, late.handle(seeds, network.now))
+        network.run(4)
+        self.assertNotIn(member.id, network.alive_at('vm0/gate'))
+        self.assertIn(member.id, network.by_id['vm0/gate'].states())
+        network.act(member.id, late.handle(JoinFinished(), network.now))
+        network.run(3)
+        self.assertTrue(network.is_agreed(set(network.by_id)))
+
     def test_notices_travel(self) -> None:
         """A conviction reaches all members."""
         network = Network(8, 7)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -83,6 +83,8 @@
         first.hub.send('second', Cancel('q3', 'u1'))
         await wait_for(again.arrived.wait(), _PATIENCE_S)
         self.assertEqual([Cancel('q3', 'u1')], again.received)
+        first.hub.forget_unknown([])
+        self.assertTrue(first.hub.is_up('second'))
         await first.hub.close()
         await again.hub.close()
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -314,6 +314,42 @@
         world.offer(2, SubQueryKind.hedge)
         self.assertEqual(Reason.no_idle_slot, world.replies['q2'][0].reason)
 
+    def test_upstream_that_is_down_gets_no_queue(self) -> None:
+        """Without an open connection work is refused as not run."""
+        world = UpstreamWorld()
+        world.offer(1)
+        world.offer(2)
+        for connection in list(world.open):
+            world.die(connection)
+        world.pass_time(0.2)
+        world.offer(3)
+        for name in ('q2', 'q3'):
+            self.assertEqual(Reason.no_replica, world.replies[name][0].reason)
+
+    def test_frozen_upstream_sees_few_connections(self) -> None:
+        """A host that stands still would find all of them on its return."""
+        world = UpstreamWorld()
+        world.answers_probes = False
+        world.offer(1, allowed=0.2)
+        opened = 0
+        for _ in range(40):
+            world.pass_time(0.25)
+            opened += len(world.opening)
+            world.open_all()
+        self.assertLess(opened, 15)
+
+    def test_gate_of_another_domain_waits(self) -> None:
+        """It starts nothing before the upstream's own gate had its time."""
+        policy = UpstreamPolicy(make_upstream(), Quarantine(), 0, settle_time=2)
+        report = LoadReported(0, False, False, _HOLDINGS)
+        policy.handle(report, 10)
+        for at, is_accepting in ((11.9, False), (12.1, True)):
+            for action in policy.handle(Ticked(), at):
+                if isinstance(action, OpenConnection):
+                    policy.handle(ConnectionOpened(action.connection), at)
+            view = policy.view(at, with_holdings=False)
+            self.assertEqual(is_accepting, view.accepting)
+
     def test_canary_runs_alone(self) -> None:
         """Nothing runs beside a canary."""
         world = UpstreamWorld()
--- a/tests/test_query.py
+++ b/tests/test_query.py
@@ -11,6 +11,7 @@
 from sesametrack.callers.context import QueryContext, ServiceState
 from sesametrack.callers.events import (
     DeliverAnswer,
+    GateStalled,
     LinkLost,
     NeverSent,
     QueryAction,
@@ -294,6 +295,16 @@
         self.assertTrue(world.answer.coverage.complete)
         self.assertEqual([world.sent[0].id], world.cancelled)
 
+    def test_stalled_gate_is_asked_around(self) -> None:
+        """Another replica answers; a late reply would still be used."""
+        world = QueryWorld(shards=1)
+        world.start()
+        gate = world.gate_by_id[world.sent[0].id]
+        world.take(world.query.handle(GateStalled(gate), world.now))
+        self.assertEqual(2, len(world.sent))
+        world.reply(world.sent[0], SubState.answered)
+        self.assertTrue(world.answer.coverage.complete)
+
     def test_refused_hedge_is_tried_again(self) -> None:
         """A hedge that found no idle slot is repeated a little later."""
         world = QueryWorld(shards=1)
