--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -220,6 +220,39 @@
                 self.assertTrue(not is_refused or replies[0].reason in shed)
 
 
+class TwoGatesProperties(TestCase):
+    """Two gates may hold one upstream while membership converges."""
+
+    @settings(max_examples=40)
+    @given(
+        draw=st.data(), slots=st.integers(1, 6), connections=st.integers(6, 25)
+    )
+    def test_shared_limits(
+        self, draw: st.DataObject, slots: int, connections: int
+    ) -> None:
+        """Connections hold always; a reported slot is not taken twice."""
+        gates = [UpstreamWorld(slots, connections) for _ in range(2)]
+        for _ in range(12):
+            chosen = draw.draw(st.integers(0, 1))
+            play(gates[chosen], draw, 4)
+            pooled = sum(len(gate.open) + len(gate.opening) for gate in gates)
+            controls = len(gates)
+            self.assertLessEqual(pooled + controls, connections)
+        self._check_report(gates, slots)
+
+    def _check_report(self, gates: list[UpstreamWorld], slots: int) -> None:
+        """After a report each gate starts at most one beyond the slots."""
+        first, second = gates
+        first.pass_time(2)
+        foreign = len(second.running)
+        before = len(first.running)
+        first.step(LoadReported(before + foreign, False, False, _HOLDINGS))
+        for number in range(slots + 2):
+            first.offer(10_000 + number)
+        allowed = max(1, slots - foreign, before)
+        self.assertLessEqual(len(first.running), allowed)
+
+
 class PolicyTest(TestCase):
     """Focused failures."""
 
