Call a write unknown when the platform answers it with a server error

Cause, found on reading what answers claim: a write answered with 500 to 599 counted as refused, so sesametrack-ctl said that nothing was changed, although the write may have taken effect before the error. Change: such an answer is a lost reply, which apply settles by its change id and a claim by reading back; 4xx stays a refusal. An unknown first write no longer says that the platform does not answer where it has nothing to show.

--- a/src/sesametrack/links/platform.py
+++ b/src/sesametrack/links/platform.py
@@ -24,6 +24,7 @@
 _CREATED = 201
 _NOT_FOUND = 404
 _CONFLICT = 412
+_SERVER_ERROR = 500
 _MS = 1000
 
 
@@ -186,6 +187,12 @@
                 ) from failed
         if response.status == _CONFLICT:
             raise ConflictError(f'{key} was changed by another writer')
+        if response.status >= _SERVER_ERROR:
+            # The error may have come after the write took effect.
+            self.calls.failures += 1
+            raise PlatformLostReplyError(
+                f'the write of {key} was answered with {response.status}'
+            )
         self._require(response, _OK, _CREATED)
         return _object_decoder.decode(response.body)
 
--- a/src/sesametrack/programs/changes.py
+++ b/src/sesametrack/programs/changes.py
@@ -148,7 +148,8 @@
             WriteState.unknown,
             change_id,
             revision,
-            'the platform does not answer; run `resolve` again later',
+            'the platform does not answer, or has no configuration yet; '
+            'run `resolve` again later',
         )
 
     async def _resolve_once(
