--- a/src/sesametrack/contracts/exceptions.py
+++ b/src/sesametrack/contracts/exceptions.py
@@ -59,6 +59,10 @@
     """The call may have taken effect: its reply was lost."""
 
 
+class HistoryGoneError(PlatformError):
+    """A watch names a revision that the platform no longer remembers."""
+
+
 class ConflictError(PlatformError):
     """A conditional write found another version than the one it named."""
 
--- a/src/sesametrack/contracts/settings.py
+++ b/src/sesametrack/contracts/settings.py
@@ -78,14 +78,14 @@
 def read_settings(text: bytes | str, source: str) -> Settings:
     """Decode and check a settings file; raises SettingsError."""
     settings = decode_json(text, Settings, source, SettingsError)
-    _check_ip(settings.address, '$.address', source)
+    check_ip(settings.address, '$.address', source)
     for name in ('platform', 'seeds'):
         for index, address in enumerate(getattr(settings, name)):
-            _check_address(address, f'$.{name}[{index}]', source)
+            check_address(address, f'$.{name}[{index}]', source)
     if not settings.platform:
         raise SettingsError(source, '$.platform', 'names no address', [])
     if settings.statsd is not None:
-        _check_address(settings.statsd, '$.statsd', source)
+        check_address(settings.statsd, '$.statsd', source)
     _check_choice(settings.log_format, _LOG_FORMATS, '$.log_format', source)
     _check_choice(settings.policy, _POLICIES, '$.policy', source)
     _check_ports(settings, source)
@@ -106,16 +106,18 @@
         raise SettingsError(source, path, problem, found)
 
 
-def _check_ip(text: str, path: str, source: str) -> None:
+def check_ip(text: str, path: str, source: str) -> None:
+    """Raise SettingsError unless the text is an IP number."""
     try:
         ip_address(text)
     except ValueError:
         raise SettingsError(source, path, 'is not an IP number', text) from None
 
 
-def _check_address(address: str, path: str, source: str) -> None:
+def check_address(address: str, path: str, source: str) -> None:
+    """Raise SettingsError unless the text is an 'IP:port'."""
     host, _, port = address.rpartition(':')
-    _check_ip(host, path, source)
+    check_ip(host, path, source)
     if not port.isdigit():
         raise SettingsError(source, path, 'needs a port', address)
 
--- /dev/null
+++ b/src/sesametrack/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: it translates and decides nothing."""
--- /dev/null
+++ b/src/sesametrack/platform/follower.py
@@ -0,0 +1,210 @@
+"""Follows the platform's objects and tells the product of changes."""
+
+from asyncio import Task, create_task, sleep
+from collections.abc import Awaitable, Callable
+from logging import getLogger
+from random import Random
+from typing import Protocol
+
+from sesametrack.contracts.exceptions import (
+    HistoryGoneError,
+    PlatformError,
+)
+from sesametrack.contracts.types import (
+    Address,
+    FailureDomainId,
+    Seconds,
+    UpstreamId,
+)
+from sesametrack.platform.decoding import (
+    decode_desired_state,
+    decode_upstream,
+)
+from sesametrack.platform.store import ChangeBatch, StoreConnection, StoreObject
+from sesametrack.routing.desired import DesiredState
+from sesametrack.routing.directory import UpstreamRecord
+from sesametrack.telemetry.journal import log_event
+
+# A watch returns at each event; waiting a moment before the next one lets
+# the events of a wave come in one call.
+_GATHER_TIME: Seconds = 0.15
+# The upstreams' watch also shows whether the store is there: it returns so
+# often, well within the shortest drain time of the platform (3 s).
+_UPSTREAM_WAIT: Seconds = 2.5
+_OTHER_WAIT: Seconds = 25
+_FIRST_PAUSE: Seconds = 0.1
+_MAX_PAUSE: Seconds = 0.8
+
+_UPSTREAMS = 'servers'
+_DESIRED = 'config'
+_EVACUATED = 'evacuations'
+
+_log = getLogger('platform')
+
+
+class Listener(Protocol):
+    """What the product offers to learn of the platform's objects."""
+
+    def on_desired_state(self, state: DesiredState) -> None:
+        """Take a version of the desired state."""
+
+    def on_upstreams_listed(self, records: list[UpstreamRecord]) -> None:
+        """Take the whole list of upstreams."""
+
+    def on_upstream_changed(self, record: UpstreamRecord) -> None:
+        """Take one upstream's entry."""
+
+    def on_upstream_removed(self, upstream_id: UpstreamId) -> None:
+        """Take the removal of an entry."""
+
+    def on_evacuated(self, domains: frozenset[FailureDomainId]) -> None:
+        """Take the failure domains that must get no work."""
+
+    def on_store_lost(self, kind: str, problem: str) -> None:
+        """Take the loss of the store."""
+
+    def on_store_regained(self, kind: str) -> None:
+        """Take the return of the store."""
+
+
+class Follower:
+    """Owns one connection and one task for each kind of object."""
+
+    def __init__(
+        self, address: Address, listener: Listener, rng: Random
+    ) -> None:
+        """Bind the store's address; `start` connects."""
+        self._address = address
+        self._listener = listener
+        self._rng = rng
+        self._tasks: list[Task] = []
+        self._connection_by_kind: dict[str, StoreConnection] = {}
+        self._evacuated: set[FailureDomainId] = set()
+
+    @property
+    def calls(self) -> int:
+        """Number of calls made to the store."""
+        return sum(one.calls for one in self._connection_by_kind.values())
+
+    async def start(self) -> None:
+        """Follow all kinds until `close`."""
+        kinds: tuple[tuple[str, Seconds, Callable, Callable], ...] = (
+            (_DESIRED, _OTHER_WAIT, self._list_config, self._change_config),
+            (
+                _UPSTREAMS,
+                _UPSTREAM_WAIT,
+                self._list_upstreams,
+                self._change_upstream,
+            ),
+            (_EVACUATED, _OTHER_WAIT, self._list_zones, self._change_zone),
+        )
+        for kind, wait, on_list, on_change in kinds:
+            self._connection_by_kind[kind] = StoreConnection(self._address)
+            self._tasks.append(
+                create_task(self._follow(kind, wait, on_list, on_change))
+            )
+
+    async def close(self) -> None:
+        """Stop following."""
+        for task in self._tasks:
+            task.cancel()
+        for connection in self._connection_by_kind.values():
+            connection.close()
+
+    async def _follow(
+        self,
+        kind: str,
+        wait: Seconds,
+        on_list: Callable[[list[StoreObject]], None],
+        on_change: Callable[[StoreObject, bool], None],
+    ) -> None:
+        connection = self._connection_by_kind[kind]
+        failures = 0
+
+        async def run() -> None:
+            nonlocal failures
+            found, revision = await connection.list_objects(kind)
+            if failures:
+                self._listener.on_store_regained(kind)
+            failures = 0
+            on_list(found)
+            await self._watch(connection, kind, revision, wait, on_change)
+
+        while True:
+            problem = await _catch(run)
+            if isinstance(problem, HistoryGoneError):
+                log_event(_log, 'history-gone', kind=kind)
+                await sleep(self._rng.random() * _FIRST_PAUSE)
+                continue
+            if not failures:
+                self._listener.on_store_lost(kind, str(problem))
+                self._drop_connections(kind)
+            failures += 1
+            pause = min(_MAX_PAUSE, _FIRST_PAUSE * 2 ** min(failures, 5))
+            await sleep(pause * (0.5 + self._rng.random() / 2))
+
+    async def _watch(
+        self,
+        connection: StoreConnection,
+        kind: str,
+        revision: int,
+        wait: Seconds,
+        on_change: Callable[[StoreObject, bool], None],
+    ) -> None:
+        while True:
+            batch: ChangeBatch = await connection.watch(kind, revision, wait)
+            for change in batch.events:
+                on_change(change.object, change.deleted)
+            revision = batch.store_revision
+            await sleep(_GATHER_TIME)
+
+    def _drop_connections(self, kind: str) -> None:
+        """Renew the other watches: their connections may be silent too."""
+        if kind != _UPSTREAMS:
+            return
+        for other, connection in self._connection_by_kind.items():
+            if other != kind:
+                connection.close()
+
+    def _list_config(self, found: list[StoreObject]) -> None:
+        for one in found:
+            self._change_config(one, is_deleted=False)
+
+    def _change_config(self, found: StoreObject, is_deleted: bool) -> None:
+        if is_deleted:
+            return
+        state = decode_desired_state(found)
+        if state is not None:
+            self._listener.on_desired_state(state)
+
+    def _list_upstreams(self, found: list[StoreObject]) -> None:
+        records = [decode_upstream(one) for one in found]
+        self._listener.on_upstreams_listed(
+            [record for record in records if record is not None]
+        )
+
+    def _change_upstream(self, found: StoreObject, is_deleted: bool) -> None:
+        record = None if is_deleted else decode_upstream(found)
+        if record is None:
+            self._listener.on_upstream_removed(found.meta.name)
+        else:
+            self._listener.on_upstream_changed(record)
+
+    def _list_zones(self, found: list[StoreObject]) -> None:
+        self._evacuated = {one.meta.name for one in found}
+        self._listener.on_evacuated(frozenset(self._evacuated))
+
+    def _change_zone(self, found: StoreObject, is_deleted: bool) -> None:
+        if is_deleted:
+            self._evacuated.discard(found.meta.name)
+        else:
+            self._evacuated.add(found.meta.name)
+        self._listener.on_evacuated(frozenset(self._evacuated))
+
+
+async def _catch(run: Callable[[], Awaitable[None]]) -> PlatformError | None:
+    try:
+        await run()
+    except PlatformError as failed:
+        return failed
+    return None
--- /dev/null
+++ b/src/sesametrack/platform/registration.py
@@ -0,0 +1,122 @@
+"""This VM's entry in the store, and the number of VMs that have one."""
+
+from asyncio import Task, create_task, sleep
+from collections.abc import Callable
+from logging import getLogger
+from random import Random
+
+from msgspec import Struct, ValidationError, convert
+
+from sesametrack.contracts.exceptions import ConflictError, PlatformError
+from sesametrack.contracts.types import (
+    Address,
+    FailureDomainId,
+    Instant,
+    Seconds,
+    VmId,
+)
+from sesametrack.platform.store import StoreConnection, StoreObject
+from sesametrack.telemetry.journal import log_event
+from sesametrack.vms.fleet_count import FleetCount
+
+_KIND = 'sesametrack-vms'
+_INTERVAL: Seconds = 10
+_RETRY_PAUSE: Seconds = 1
+# VMs that start together see each other's entries only after a while.
+_FIRST_PAUSE: Seconds = 1.5
+_log = getLogger('registration')
+
+
+class _Entry(Struct):
+    failure_domain: str
+    heartbeat: int
+
+
+class Registration:
+    """Writes a heartbeat and reads those of the other VMs."""
+
+    def __init__(
+        self,
+        address: Address,
+        vm: VmId,
+        domain: FailureDomainId,
+        on_count: Callable[[int], None],
+        now: Callable[[], Instant],
+        rng: Random,
+    ) -> None:
+        """Bind the names; `start` registers."""
+        self._connection = StoreConnection(address)
+        self._vm = vm
+        self._domain = domain
+        self._on_count = on_count
+        self._now = now
+        self._rng = rng
+        # A restarted process must not repeat a heartbeat.
+        self._heartbeat = rng.randrange(1 << 30)
+        self._fleet = FleetCount(vm)
+        self._task: Task | None = None
+
+    async def start(self) -> None:
+        """Register and count until `close`."""
+        self._task = create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop; the entry ages and is removed by another VM."""
+        if self._task is not None:
+            self._task.cancel()
+        self._connection.close()
+
+    async def _run(self) -> None:
+        await self._register()
+        await sleep(_FIRST_PAUSE)
+        while True:
+            pause = _INTERVAL
+            try:
+                await self._count()
+                await self._renew()
+            except PlatformError as failed:
+                pause = _RETRY_PAUSE
+                log_event(_log, 'registration-failed', problem=str(failed))
+            await sleep(pause * (0.75 + self._rng.random() / 2))
+
+    async def _register(self) -> None:
+        try:
+            await self._renew()
+        except PlatformError as failed:
+            log_event(_log, 'registration-failed', problem=str(failed))
+
+    async def _renew(self) -> None:
+        self._heartbeat += 1
+        entry = {'failure_domain': self._domain, 'heartbeat': self._heartbeat}
+        try:
+            await self._connection.create(_KIND, self._vm, entry)
+        except ConflictError:
+            await self._connection.replace(_KIND, self._vm, entry)
+
+    async def _count(self) -> None:
+        found, _ = await self._connection.list_objects(
+            _KIND, may_be_stale=self._fleet.is_known
+        )
+        heartbeats = {
+            one.meta.name: entry.heartbeat
+            for one in found
+            if (entry := _read_entry(one)) is not None
+        }
+        gone = self._fleet.observe(heartbeats, self._now())
+        for vm in gone:
+            log_event(_log, 'vm-entry-removed', vm=vm)
+            await self._connection.delete(_KIND, vm)
+        self._on_count(self._fleet.count)
+
+
+def _read_entry(found: StoreObject) -> _Entry | None:
+    try:
+        return convert(found.spec, _Entry)
+    except ValidationError as refused:
+        log_event(
+            _log,
+            'vm-entry-refused',
+            entry=found.meta.name,
+            problem=str(refused),
+        )
+        return None
--- /dev/null
+++ b/src/sesametrack/programs/forwarder.py
@@ -0,0 +1,621 @@
+"""Drives exchanges: callers' requests in, upstream sends, answers out."""
+
+from asyncio import AbstractEventLoop, TimerHandle
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from itertools import count
+from logging import getLogger
+from random import Random
+
+from sesametrack.contracts.exceptions import RequestError
+from sesametrack.contracts.types import (
+    Instant,
+    Seconds,
+    ServiceId,
+    UpstreamId,
+)
+from sesametrack.links.caller_server import CallerConnection, IncomingRequest
+from sesametrack.links.upstream_pool import (
+    PendingSend,
+    PoolOwner,
+    UpstreamPool,
+)
+from sesametrack.platform.headers import (
+    build_send,
+    read_reply,
+    read_request,
+    write_answer,
+    write_bad_request,
+    write_unrouted,
+)
+from sesametrack.routing.budget import RetryBudget
+from sesametrack.routing.calls import CallContext
+from sesametrack.routing.desired import Route
+from sesametrack.routing.directory import Upstream, UpstreamDirectory
+from sesametrack.routing.events import (
+    Action,
+    Answer,
+    CallerRequest,
+    Deliver,
+    Failure,
+    FailureKind,
+    ForwardReply,
+    MergedAnswer,
+    Note,
+    Refusal,
+    ReplyKind,
+    Send,
+    UpstreamReply,
+)
+from sesametrack.routing.exchanges import (
+    Exchange,
+    GatherExchange,
+    SingleExchange,
+)
+from sesametrack.routing.pacing import ColdPacer
+from sesametrack.routing.routes import RouteTable
+from sesametrack.routing.selection import Selector
+from sesametrack.routing.shares import UNKNOWN_FLEET, connection_share
+from sesametrack.routing.timing import RouteTiming, TimingTable
+from sesametrack.telemetry.journal import log_event
+from sesametrack.telemetry.metrics import Metrics
+
+_MS = 1000
+# After a caller has left, its sends may still end by themselves for so
+# long, which keeps their connections.
+_LEFT_GRACE: Seconds = 0.2
+# An upstream stops at the time limit that it was given; a send without a
+# reply so long after it is on a silent connection.
+_OVERDUE: Seconds = 0.25
+_SWEEP_INTERVAL: Seconds = 0.1
+_TRIM_INTERVAL: Seconds = 1
+# Connection attempts to an unreachable upstream repeat with these pauses.
+_FIRST_PROBE_PAUSE: Seconds = 0.25
+_MAX_PROBE_PAUSE: Seconds = 2
+_NO_STATE_RETRY_AFTER: Seconds = 0.1
+
+_log = getLogger('forwarder')
+
+
+@dataclass(slots=True)
+class _Running:
+    """A request under way or answered, with sends that have not ended."""
+
+    request: CallerRequest
+    route: Route
+    exchange: Exchange
+    connection: CallerConnection | None
+    version: int
+    timer: TimerHandle | None = None
+    timer_at: Instant = float('inf')
+    sends: int = 0
+    hedges: int = 0
+    retries: int = 0
+
+
+@dataclass(slots=True)
+class _InFlight:
+    """One send."""
+
+    running: _Running
+    upstream: Upstream
+    pool: UpstreamPool
+    timing: RouteTiming
+    service: ServiceId
+    sent_at: Instant
+    abort_at: Instant
+    reason: str
+
+
+@dataclass(slots=True)
+class _Link:
+    """The pool of an upstream and its connection attempts."""
+
+    upstream: Upstream
+    pool: UpstreamPool
+    failures: int = 0
+    is_probed: bool = field(default=False)
+
+
+class Forwarder(PoolOwner):
+    """Owns all requests, sends and pools of this router."""
+
+    def __init__(
+        self,
+        vm_domain: str,
+        budget: RetryBudget,
+        metrics: Metrics,
+        loop: AbstractEventLoop,
+        now: Callable[[], Instant],
+        rng: Random,
+    ) -> None:
+        """Build the decisions and bind the clock."""
+        self.routes = RouteTable()
+        self.directory = UpstreamDirectory()
+        self.budget = budget
+        self.is_stopping = False
+        self.vm_count = UNKNOWN_FLEET
+        self._metrics = metrics
+        self._loop = loop
+        self._now = now
+        self._pacer = ColdPacer()
+        self._timings = TimingTable()
+        self._context = CallContext(
+            self.directory,
+            Selector(vm_domain, self._pacer, rng),
+            budget,
+            self._pacer,
+            self._timings,
+            partial(next, count(1)),
+            self._max_connections,
+        )
+        self._running_by_connection: dict[CallerConnection, _Running] = {}
+        self._in_flight_by_attempt: dict[int, _InFlight] = {}
+        self._link_by_id: dict[UpstreamId, _Link] = {}
+        self._timers: list[TimerHandle | None] = [None, None]
+
+    def start(self) -> None:
+        """Begin the periodic work."""
+        self._sweep()
+        self._trim()
+
+    def close(self) -> None:
+        """Close all connections to upstreams."""
+        for timer in self._timers:
+            if timer is not None:
+                timer.cancel()
+        for link in self._link_by_id.values():
+            link.pool.close()
+
+    @property
+    def busy(self) -> int:
+        """Number of requests without an answer."""
+        return len(self._running_by_connection)
+
+    @property
+    def opened(self) -> int:
+        """Number of connections opened to listed upstreams."""
+        return sum(link.pool.opened for link in self._link_by_id.values())
+
+    def divide(self, vm_count: int) -> None:
+        """Take this VM's share of every limit of the whole fleet."""
+        self.vm_count = vm_count
+        self.budget.divide(vm_count)
+        self._pacer.divide(vm_count)
+        for link in self._link_by_id.values():
+            service = link.upstream.record.service
+            link.pool.limit = self._max_connections(service)
+
+    def apply_state(self) -> None:
+        """Take over the limits of a new desired state."""
+        state = self.routes.state
+        self._pacer.configure(state.service_by_id)
+        self._timings.retain({route.name for route in state.routes})
+        self.divide(self.vm_count)
+
+    def forget(self, upstream_ids: list[UpstreamId]) -> None:
+        """Let go of upstreams that are no longer listed."""
+        for upstream_id in upstream_ids:
+            self._pacer.forget(upstream_id)
+            link = self._link_by_id.pop(upstream_id, None)
+            if link is not None:
+                link.pool.retire()
+
+    # Callers.
+
+    def on_request(
+        self, connection: CallerConnection, incoming: IncomingRequest
+    ) -> None:
+        """Route one whole request."""
+        try:
+            request = read_request(incoming)
+        except RequestError as refused:
+            self._metrics.count('requests.bad')
+            log_event(_log, 'bad-request', problem=str(refused))
+            connection.respond(
+                write_bad_request(str(refused)), is_last=self.is_stopping
+            )
+            return
+        route = None
+        if self.routes.state is not None and self.directory.is_known:
+            route = self.routes.find(request.host, request.path)
+            if route is None:
+                self._answer_unrouted(connection, request)
+                return
+        if route is None:
+            refusal = Refusal('no-desired-state', _NO_STATE_RETRY_AFTER)
+            self._refuse(connection, request, refusal)
+            return
+        self._begin(connection, request, route)
+
+    def on_left(self, connection: CallerConnection) -> None:
+        """Take the leaving of a caller before its answer."""
+        running = self._running_by_connection.pop(connection, None)
+        if running is None:
+            return
+        running.connection = None
+        now = self._now()
+        self._metrics.count('requests.left')
+        self._log_end(running, 'caller-left', {}, now)
+        self._stop(running)
+        if not running.route.is_repeatable:
+            # It may have run: it must end by itself.
+            return
+        for in_flight in self._in_flight_by_attempt.values():
+            if in_flight.running is running:
+                in_flight.abort_at = min(
+                    in_flight.abort_at, now + _LEFT_GRACE
+                )
+
+    def on_refused(self, status: int) -> None:
+        """Count a request that broke a limit or the protocol."""
+        self._metrics.count(f'requests.refused-{status}')
+        log_event(_log, 'request-refused', status=status)
+
+    # Upstreams.
+
+    def on_reply(self, attempt_id: int, reply: UpstreamReply) -> None:
+        """Take a whole reply of an upstream."""
+        in_flight = self._in_flight_by_attempt.pop(attempt_id, None)
+        if in_flight is None:
+            return
+        now = self._now()
+        health = in_flight.upstream.health
+        if reply.load is not None:
+            health.record_load(*reply.load, now)
+        if reply.kind is ReplyKind.succeeded:
+            usual = in_flight.timing.usual(now)
+            health.record_reply(attempt_id, usual, now)
+            in_flight.timing.record(now - in_flight.sent_at, now)
+        else:
+            self._record_failure(in_flight, attempt_id, reply.kind.value, now)
+        if reply.kind is ReplyKind.misdirected:
+            self.directory.mark_replaced(in_flight.upstream.id)
+        running = in_flight.running
+        if not running.exchange.is_done:
+            self._perform(
+                running, running.exchange.on_reply(attempt_id, reply, now), now
+            )
+
+    def on_failure(
+        self, attempt_id: int, kind: FailureKind, why: str
+    ) -> None:
+        """Take the end of a send without a reply."""
+        in_flight = self._in_flight_by_attempt.pop(attempt_id, None)
+        if in_flight is None:
+            return
+        now = self._now()
+        self._record_failure(in_flight, attempt_id, f'{kind.value}: {why}', now)
+        running = in_flight.running
+        if not running.exchange.is_done:
+            self._perform(
+                running, running.exchange.on_failure(attempt_id, kind, now), now
+            )
+
+    def on_connected(self, pool: UpstreamPool, elapsed: Seconds) -> None:
+        """Take the opening of a connection."""
+        self._metrics.count('connections.opened')
+        self._metrics.time('connections.open-time', elapsed * _MS)
+        link = self._link_by_id.get(pool.upstream_id)
+        if link is None:
+            return
+        if link.upstream.health.is_unreachable:
+            log_event(_log, 'upstream-reachable', upstream=pool.upstream_id)
+        link.failures = 0
+        link.upstream.health.record_reachable()
+
+    def on_unreachable(self, pool: UpstreamPool, why: str) -> None:
+        """Take the failure to open a connection."""
+        self._metrics.count('connections.failed')
+        link = self._link_by_id.get(pool.upstream_id)
+        if link is None:
+            return
+        now = self._now()
+        health = link.upstream.health
+        if not health.is_unreachable:
+            log_event(
+                _log,
+                'upstream-unreachable',
+                upstream=pool.upstream_id,
+                service=link.upstream.record.service,
+                why=why,
+            )
+        health.record_unreachable(now)
+        link.failures += 1
+        if link.is_probed:
+            return
+        link.is_probed = True
+        pause = _FIRST_PROBE_PAUSE * 2 ** min(link.failures - 1, 5)
+        self._loop.call_later(
+            min(_MAX_PROBE_PAUSE, pause), self._probe, pool.upstream_id
+        )
+
+    def _probe(self, upstream_id: UpstreamId) -> None:
+        link = self._link_by_id.get(upstream_id)
+        if link is None:
+            return
+        link.is_probed = False
+        if link.upstream.health.is_unreachable:
+            link.pool.open()
+
+    # Exchanges.
+
+    def _begin(
+        self,
+        connection: CallerConnection,
+        request: CallerRequest,
+        route: Route,
+    ) -> None:
+        exchange: Exchange
+        if route.shards:
+            exchange = GatherExchange(request, route, self._context)
+        else:
+            service = self.routes.choose_branch(route)
+            exchange = SingleExchange(request, route, service, self._context)
+        running = _Running(
+            request, route, exchange, connection, self.routes.version
+        )
+        self._running_by_connection[connection] = running
+        self._metrics.count('requests.started')
+        now = self._now()
+        self._perform(running, exchange.start(now), now)
+
+    def _perform(
+        self, running: _Running, actions: list[Action], now: Instant
+    ) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self._send(running, action, now)
+            elif isinstance(action, Deliver):
+                self._deliver(running, action.answer, now)
+            elif isinstance(action, Note):
+                self._metrics.count(f'decisions.{action.event}')
+                log_event(
+                    _log,
+                    action.event,
+                    request_id=running.request.id,
+                    **action.details,
+                )
+        exchange = running.exchange
+        if not exchange.is_done and exchange.wake_at < running.timer_at:
+            self._schedule(running, now)
+
+    def _send(self, running: _Running, send: Send, now: Instant) -> None:
+        link = self._link(send.upstream)
+        request = running.request
+        running.sends += 1
+        if send.reason == 'hedge':
+            running.hedges += 1
+        elif send.reason == 'retry':
+            running.retries += 1
+        if send.reason != 'first':
+            log_event(
+                _log,
+                send.reason,
+                request_id=request.id,
+                service=send.service,
+                upstream=send.upstream.id,
+                age_ms=round((now - request.arrived_at) * _MS, 1),
+                slowness=round(send.upstream.health.slowness, 2),
+            )
+        self._metrics.count(f'sends.{send.reason}')
+        self._in_flight_by_attempt[send.attempt_id] = _InFlight(
+            running,
+            send.upstream,
+            link.pool,
+            self._timings.of(running.route),
+            send.service,
+            now,
+            send.deadline + _OVERDUE,
+            send.reason,
+        )
+        link.pool.send(
+            PendingSend(
+                send.attempt_id,
+                partial(
+                    build_send,
+                    request,
+                    send.upstream.id,
+                    send.deadline,
+                    self._now,
+                ),
+                partial(read_reply, request.id.encode('latin-1')),
+                running.route.is_repeatable,
+            )
+        )
+
+    def _deliver(
+        self, running: _Running, answer: Answer, now: Instant
+    ) -> None:
+        connection = running.connection
+        running.connection = None
+        self._stop(running)
+        outcome, details = _describe(answer)
+        self._metrics.count(f'answers.{outcome}')
+        elapsed_ms = (now - running.request.arrived_at) * _MS
+        self._metrics.time(f'answers.{outcome}-time', elapsed_ms)
+        missing = getattr(running.exchange, 'missing_shards', None)
+        if missing is not None and outcome != 'whole':
+            details['missing'] = missing()
+        self._log_end(running, outcome, details, now)
+        if connection is not None:
+            self._running_by_connection.pop(connection, None)
+            connection.respond(
+                write_answer(answer, running.request.id),
+                is_last=self.is_stopping,
+            )
+
+    def _stop(self, running: _Running) -> None:
+        """Let nothing new begin for a request that is over."""
+        running.exchange.is_done = True
+        if running.timer is not None:
+            running.timer.cancel()
+        for attempt_id, in_flight in list(self._in_flight_by_attempt.items()):
+            if in_flight.running is running and in_flight.pool.withdraw(
+                attempt_id
+            ):
+                in_flight.upstream.health.end(attempt_id)
+                self._in_flight_by_attempt.pop(attempt_id)
+
+    def _schedule(self, running: _Running, now: Instant) -> None:
+        if running.timer is not None:
+            running.timer.cancel()
+        running.timer_at = running.exchange.wake_at
+        running.timer = self._loop.call_later(
+            max(0, running.timer_at - now), self._wake, running
+        )
+
+    def _wake(self, running: _Running) -> None:
+        running.timer = None
+        running.timer_at = float('inf')
+        if running.exchange.is_done:
+            return
+        now = self._now()
+        self._perform(running, running.exchange.on_time(now), now)
+
+    def _refuse(
+        self,
+        connection: CallerConnection,
+        request: CallerRequest,
+        refusal: Refusal,
+    ) -> None:
+        self._metrics.count('answers.refused')
+        log_event(
+            _log, 'refused', request_id=request.id, reason=refusal.reason
+        )
+        connection.respond(
+            write_answer(refusal, request.id), is_last=self.is_stopping
+        )
+
+    def _answer_unrouted(
+        self, connection: CallerConnection, request: CallerRequest
+    ) -> None:
+        self._metrics.count('answers.unrouted')
+        log_event(
+            _log,
+            'unrouted',
+            request_id=request.id,
+            host=request.host,
+            path=request.path,
+            version=self.routes.version,
+        )
+        connection.respond(
+            write_unrouted(request.id), is_last=self.is_stopping
+        )
+
+    # Pools.
+
+    def _link(self, upstream: Upstream) -> _Link:
+        link = self._link_by_id.get(upstream.id)
+        if link is None or link.upstream is not upstream:
+            if link is not None:
+                link.pool.retire()
+            pool = UpstreamPool(
+                upstream.id,
+                upstream.record.address,
+                self._max_connections(upstream.record.service),
+                self,
+                self._loop,
+                self._now,
+            )
+            link = _Link(upstream, pool)
+            self._link_by_id[upstream.id] = link
+        return link
+
+    def _max_connections(self, service: ServiceId) -> int:
+        spec = None
+        if self.routes.state is not None:
+            spec = self.routes.state.service_by_id.get(service)
+        if spec is None:
+            return 1
+        return connection_share(spec.max_connections, self.vm_count)
+
+    def _record_failure(
+        self, in_flight: _InFlight, attempt_id: int, why: str, now: Instant
+    ) -> None:
+        upstream = in_flight.upstream
+        is_ejected = upstream.health.record_failure(attempt_id, now)
+        self._metrics.count('sends.failed')
+        log_event(
+            _log,
+            'send-failed',
+            request_id=in_flight.running.request.id,
+            service=in_flight.service,
+            upstream=upstream.id,
+            why=why,
+            kind=in_flight.reason,
+            elapsed_ms=round((now - in_flight.sent_at) * _MS, 1),
+        )
+        if is_ejected:
+            self._metrics.count('upstreams.ejected')
+            log_event(
+                _log,
+                'upstream-ejected',
+                upstream=upstream.id,
+                failures=upstream.health.failures_in_row,
+                for_s=round(upstream.health.ejected_until - now, 2),
+            )
+
+    # Periodic work.
+
+    def _sweep(self) -> None:
+        now = self._now()
+        overdue = [
+            attempt_id
+            for attempt_id, in_flight in self._in_flight_by_attempt.items()
+            if in_flight.abort_at <= now
+        ]
+        for attempt_id in overdue:
+            in_flight = self._in_flight_by_attempt[attempt_id]
+            # Each attempt is aborted once; its end comes as a failure.
+            in_flight.abort_at = float('inf')
+            in_flight.pool.abort(attempt_id, 'overdue')
+        self.forget(self.directory.expire(now))
+        self._timers[0] = self._loop.call_later(_SWEEP_INTERVAL, self._sweep)
+
+    def _trim(self) -> None:
+        for link in self._link_by_id.values():
+            link.pool.trim()
+        self._metrics.gauge('requests.busy', self.busy)
+        self._timers[1] = self._loop.call_later(_TRIM_INTERVAL, self._trim)
+
+    def _log_end(
+        self,
+        running: _Running,
+        outcome: str,
+        details: dict[str, object],
+        now: Instant,
+    ) -> None:
+        log_event(
+            _log,
+            'answered',
+            request_id=running.request.id,
+            outcome=outcome,
+            route=running.route.name,
+            version=running.version,
+            elapsed_ms=round((now - running.request.arrived_at) * _MS, 1),
+            sends=running.sends,
+            hedges=running.hedges,
+            retries=running.retries,
+            **details,
+        )
+
+
+def _describe(answer: Answer) -> tuple[str, dict[str, object]]:
+    """Return the outcome's name for logs and metrics, and its details."""
+    if isinstance(answer, MergedAnswer):
+        return ('partial' if answer.missing else 'whole'), {}
+    if isinstance(answer, ForwardReply):
+        if answer.reply.kind is ReplyKind.succeeded:
+            return 'whole', {}
+        return 'upstream-failed', {'status': answer.reply.status}
+    if isinstance(answer, Refusal):
+        return 'refused', {
+            'reason': answer.reason,
+            'retry_after': answer.retry_after,
+        }
+    if isinstance(answer, Failure):
+        outcome = 'late' if answer.is_late else 'failed'
+        return outcome, {'reason': answer.reason}
+    raise TypeError(answer)
--- /dev/null
+++ b/src/sesametrack/programs/router.py
@@ -0,0 +1,339 @@
+"""The router daemon: one on each VM."""
+
+from asyncio import Event, get_running_loop, run, sleep, wait_for
+from contextlib import suppress
+from logging import getLogger
+from os import environ
+from pathlib import Path
+from random import Random
+from signal import SIGHUP, SIGINT, SIGTERM
+from sys import exit as exit_process
+from sys import stderr
+from time import CLOCK_BOOTTIME, clock_gettime, time
+
+from absl import app, flags
+
+from sesametrack.contracts.exceptions import SesametrackError, SettingsError
+from sesametrack.contracts.router_settings import (
+    RouterSettings,
+    read_router_settings,
+)
+from sesametrack.contracts.settings import split_address
+from sesametrack.contracts.types import (
+    FailureDomainId,
+    Instant,
+    Seconds,
+    UpstreamId,
+)
+from sesametrack.links.caller_server import CallerServer
+from sesametrack.links.http import HttpRequest, HttpResponse
+from sesametrack.links.http_server import HttpServer
+from sesametrack.platform.follower import Follower
+from sesametrack.platform.registration import Registration
+from sesametrack.programs.forwarder import Forwarder
+from sesametrack.routing.budget import BudgetRule, RetryBudget
+from sesametrack.routing.desired import DesiredState
+from sesametrack.routing.directory import UpstreamRecord
+from sesametrack.telemetry.journal import (
+    JournalHandler,
+    log_event,
+    start_journal,
+)
+from sesametrack.telemetry.metrics import Metrics
+
+_EXIT_REFUSED = 2
+_OK = 200
+_UNAVAILABLE = 503
+# The balancer asks each second and lets go after two misses, so callers
+# still come for so long after this VM says that it is not ready.
+_UNREADY_TIME: Seconds = 2.6
+# Kept back from the time for a stop, to close what is left.
+_CLOSE_TIME: Seconds = 0.6
+_POLL_INTERVAL: Seconds = 0.05
+# For so long after the store's return, entries may be missing that lapsed
+# while it was away.
+_LAPSE_WINDOW: Seconds = 2.5
+
+_SETTINGS = flags.DEFINE_string(
+    'settings',
+    environ.get('SESAMETRACK_SETTINGS'),
+    'path of the settings file; by default from SESAMETRACK_SETTINGS',
+)
+_LOG_LEVEL = flags.DEFINE_enum(
+    'router_log_level',
+    'INFO',
+    ['DEBUG', 'INFO', 'WARNING', 'ERROR'],
+    'least level of the log lines',
+)
+_log = getLogger('router')
+
+
+def steady_time() -> Instant:
+    """Return a clock that also counts the time of a suspended VM."""
+    return clock_gettime(CLOCK_BOOTTIME)
+
+
+class Router:
+    """Ties callers, upstreams and the platform's store together."""
+
+    def __init__(self, settings: RouterSettings, path: str) -> None:
+        """Build the parts; `start` opens the sockets."""
+        self._settings = settings
+        self._path = path
+        self._loop = get_running_loop()
+        self._metrics = Metrics(None, '')
+        rng = Random()
+        rule = BudgetRule(
+            settings.retries.ratio,
+            settings.retries.window_s,
+            settings.retries.slack,
+        )
+        self._forwarder = Forwarder(
+            settings.failure_domain,
+            RetryBudget(rule, steady_time()),
+            self._metrics,
+            self._loop,
+            steady_time,
+            rng,
+        )
+        host, port = split_address(settings.callers)
+        self._callers = CallerServer(
+            host,
+            port,
+            self._loop,
+            steady_time,
+            self._forwarder.on_request,
+            self._forwarder.on_left,
+            self._forwarder.on_refused,
+        )
+        host, port = split_address(settings.readiness)
+        self._readiness = HttpServer(host, port, self._answer_readiness)
+        self._admin = HttpServer(
+            settings.address, settings.metrics_port, self._answer_metrics
+        )
+        self._follower = Follower(settings.platform, self, rng)
+        self._registration = Registration(
+            settings.platform,
+            settings.vm,
+            settings.failure_domain,
+            self._on_vm_count,
+            steady_time,
+            rng,
+        )
+        self._lost_kinds: set[str] = set()
+        self._regained_at: Instant = float('-inf')
+        self._stop = Event()
+
+    async def start(self) -> None:
+        """Open the sockets and begin to follow the store."""
+        await self._readiness.start()
+        await self._admin.start()
+        await self._callers.start()
+        self._forwarder.start()
+        await self._follower.start()
+        await self._registration.start()
+        for number in (SIGTERM, SIGINT):
+            self._loop.add_signal_handler(number, self._stop.set)
+        self._loop.add_signal_handler(SIGHUP, self._reload)
+        log_event(
+            _log,
+            'started',
+            failure_domain=self._settings.failure_domain,
+            callers=self._settings.callers,
+        )
+
+    async def serve(self) -> None:
+        """Return when a graceful shutdown has finished."""
+        await self._stop.wait()
+        began = steady_time()
+        latest = began + self._settings.stop_timeout_s - _CLOSE_TIME
+        self._forwarder.is_stopping = True
+        log_event(_log, 'stopping', busy=self._forwarder.busy)
+        await sleep(min(_UNREADY_TIME, latest - began))
+        self._callers.close_idle()
+        while self._forwarder.busy and steady_time() < latest:
+            await sleep(_POLL_INTERVAL)
+        log_event(
+            _log,
+            'stopped',
+            busy=self._forwarder.busy,
+            took_s=round(steady_time() - began, 2),
+        )
+
+    async def close(self) -> None:
+        """Close all sockets."""
+        await self._registration.close()
+        await self._follower.close()
+        await self._callers.close()
+        self._forwarder.close()
+        for server in (self._readiness, self._admin):
+            with suppress(TimeoutError):
+                await wait_for(server.close(), _CLOSE_TIME / 3)
+
+    # What the platform tells.
+
+    def on_desired_state(self, state: DesiredState) -> None:
+        """Put a version of the desired state in force."""
+        before = self._forwarder.routes.version
+        if not self._forwarder.routes.apply(state):
+            if state.version < before:
+                log_event(
+                    _log, 'older-state-ignored', version=state.version,
+                    in_force=before,
+                )
+            return
+        self._forwarder.apply_state()
+        self._callers.limits = state.limits
+        self._metrics.gauge('desired-state.version', state.version)
+        log_event(
+            _log,
+            'desired-state',
+            version=state.version,
+            before=before,
+            routes=len(state.routes),
+        )
+
+    def on_upstreams_listed(self, records: list[UpstreamRecord]) -> None:
+        """Take over the whole list of upstreams."""
+        gone = self._forwarder.directory.apply_listing(
+            records, steady_time(), is_after_outage=self._is_after_outage()
+        )
+        self._forwarder.forget(gone)
+        log_event(
+            _log, 'upstreams-listed', listed=len(records), gone=len(gone)
+        )
+
+    def on_upstream_changed(self, record: UpstreamRecord) -> None:
+        """Take over one upstream's entry."""
+        is_new = self._forwarder.directory.apply_record(record, steady_time())
+        log_event(
+            _log,
+            'upstream-started' if is_new else 'upstream-changed',
+            upstream=record.id,
+            service=record.service,
+            draining=record.is_draining,
+            cold_left_s=record.cold_left,
+            sequence=record.sequence,
+        )
+
+    def on_upstream_removed(self, upstream_id: UpstreamId) -> None:
+        """Let go of an upstream whose entry was removed."""
+        is_after_outage = self._is_after_outage()
+        is_gone = self._forwarder.directory.apply_removal(
+            upstream_id, steady_time(), is_after_outage=is_after_outage
+        )
+        if is_gone:
+            self._forwarder.forget([upstream_id])
+        log_event(
+            _log,
+            'upstream-removed',
+            upstream=upstream_id,
+            after_outage=is_after_outage,
+        )
+
+    def on_evacuated(self, domains: frozenset[FailureDomainId]) -> None:
+        """Send nothing more to upstreams of these failure domains."""
+        if domains == self._forwarder.directory.evacuated:
+            return
+        self._forwarder.directory.evacuated = domains
+        log_event(_log, 'evacuated', domains=sorted(domains))
+
+    def on_store_lost(self, kind: str, problem: str) -> None:
+        """Note that the store does not answer."""
+        self._lost_kinds.add(kind)
+        self._metrics.count('store.lost')
+        log_event(_log, 'store-lost', 30, kind=kind, problem=problem)
+
+    def on_store_regained(self, kind: str) -> None:
+        """Note that the store answers again."""
+        self._lost_kinds.discard(kind)
+        self._regained_at = steady_time()
+        log_event(_log, 'store-regained', kind=kind)
+
+    def _is_after_outage(self) -> bool:
+        return steady_time() < self._regained_at + _LAPSE_WINDOW
+
+    def _on_vm_count(self, vm_count: int) -> None:
+        if vm_count == self._forwarder.vm_count:
+            return
+        log_event(
+            _log, 'fleet-size', vms=vm_count, before=self._forwarder.vm_count
+        )
+        self._forwarder.divide(vm_count)
+        self._metrics.gauge('fleet.vms', vm_count)
+
+    # The process.
+
+    @property
+    def _is_ready(self) -> bool:
+        return (
+            not self._forwarder.is_stopping
+            and self._forwarder.routes.state is not None
+            and self._forwarder.directory.is_known
+        )
+
+    async def _answer_readiness(self, request: HttpRequest) -> HttpResponse:
+        return HttpResponse(_OK if self._is_ready else _UNAVAILABLE)
+
+    async def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
+        self._metrics.gauge('store.calls', self._follower.calls)
+        return HttpResponse(
+            _OK,
+            self._metrics.render().encode(),
+            {'content-type': 'text/plain'},
+        )
+
+    def _reload(self) -> None:
+        try:
+            settings = load_router_settings(self._path)
+        except SettingsError as refused:
+            log_event(_log, 'reload-refused', 30, problem=str(refused))
+            return
+        changed = [
+            name
+            for name in settings.__struct_fields__
+            if getattr(settings, name) != getattr(self._settings, name)
+        ]
+        log_event(_log, 'reloaded', changed=changed)
+
+
+def load_router_settings(path: str | None) -> RouterSettings:
+    """Read the settings file; raises SettingsError."""
+    if not path:
+        raise SettingsError('--settings', '$', 'names no file')
+    try:
+        text = Path(path).read_bytes()
+    except OSError as failed:
+        raise SettingsError(path, '$', str(failed)) from failed
+    return read_router_settings(text, path)
+
+
+async def _run_router(settings: RouterSettings, path: str) -> None:
+    handler = JournalHandler(f'{settings.vm}/router', time, steady_time)
+    start_journal(handler, _LOG_LEVEL.value)
+    handler.start(get_running_loop())
+    router = Router(settings, path)
+    try:
+        await router.start()
+        await router.serve()
+    finally:
+        await router.close()
+        handler.close()
+
+
+def _main(argv: list[str]) -> None:
+    try:
+        settings = load_router_settings(_SETTINGS.value)
+    except SesametrackError as refused:
+        stderr.write(f'{refused}\n')
+        exit_process(_EXIT_REFUSED)
+    run(_run_router(settings, _SETTINGS.value))
+
+
+def run_program() -> None:
+    """Parse the command line and run the router until its shutdown."""
+    app.run(_main)
+
+
+if __name__ == '__main__':
+    run_program()
--- /dev/null
+++ b/src/sesametrack/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a router: routes, replicas, limits, gathers and answers."""
--- /dev/null
+++ b/src/sesametrack/routing/events.py
@@ -0,0 +1,129 @@
+"""What exchanges are told, and what they ask for."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from sesametrack.contracts.types import Instant, Seconds, ServiceId
+from sesametrack.routing.directory import Upstream
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class ReplyKind(Enum):
+    """What a whole reply of an upstream means."""
+
+    succeeded = 'succeeded'
+    # The upstream ran the request and failed.
+    failed = 'failed'
+    # The upstream says that it did not run the request.
+    rejected = 'rejected'
+    # Another upstream has this one's address; it did not run the request.
+    misdirected = 'misdirected'
+
+
+class FailureKind(Enum):
+    """How a send ended without a reply."""
+
+    # No byte of the request was handed to a socket.
+    not_sent = 'not-sent'
+    # The request may have run.
+    broken = 'broken'
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A caller's whole request in the product's terms.
+
+    `id` names this client attempt. `left` is how long the caller will wait
+    from `arrived_at` on, None if it did not say. `headers` are those to
+    pass on.
+    """
+
+    id: str
+    method: str
+    path: str
+    host: str
+    headers: Headers
+    body: bytes
+    arrived_at: Instant
+    left: Seconds | None
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamReply:
+    """A whole reply that belongs to the request.
+
+    `digest` is the upstream's signature of the reply, `load` the numbers of
+    running and waiting requests where it told them.
+    """
+
+    kind: ReplyKind
+    status: int
+    headers: Headers
+    body: bytes
+    digest: bytes = b''
+    load: tuple[int, int] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send the request to an upstream; `deadline` bounds its work."""
+
+    attempt_id: int
+    upstream: Upstream
+    deadline: Instant
+    service: ServiceId
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardReply:
+    """Answer with an upstream's reply as it is."""
+
+    reply: UpstreamReply
+
+
+@dataclass(frozen=True, slots=True)
+class MergedAnswer:
+    """Answer with records of the shards whose digests are listed."""
+
+    digests: tuple[bytes, ...]
+    missing: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """The request has not run and will not; come back after a pause."""
+
+    reason: str
+    retry_after: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """The request may have run, and there is no answer."""
+
+    reason: str
+    is_late: bool = False
+
+
+Answer = ForwardReply | MergedAnswer | Refusal | Failure
+
+
+@dataclass(frozen=True, slots=True)
+class Deliver:
+    """Give the caller its final answer."""
+
+    answer: Answer
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """A decision for the log, with the inputs that decided it."""
+
+    event: str
+    details: dict[str, str | int | float] = field(default_factory=dict)
+
+
+Action = Send | Deliver | Note
--- /dev/null
+++ b/src/sesametrack/routing/exchanges.py
@@ -0,0 +1,289 @@
+"""One caller's request from its arrival to its one answer."""
+
+from typing import Protocol
+
+from sesametrack.contracts.types import Instant, Seconds
+from sesametrack.routing.calls import Call, CallContext
+from sesametrack.routing.desired import Route
+from sesametrack.routing.events import (
+    Action,
+    Answer,
+    CallerRequest,
+    Deliver,
+    Failure,
+    FailureKind,
+    ForwardReply,
+    MergedAnswer,
+    Refusal,
+    UpstreamReply,
+)
+from sesametrack.routing.merge import merge_greatest
+
+# Time kept back before the deadline to write the answer.
+_ANSWER_TIME: Seconds = 0.008
+# Part of a route's target that is left for the way back to the caller when
+# a gather answers without its last shards.
+_RETURN_PART = 0.2
+# When a refused caller may come back: a connection attempt to a lost
+# upstream is repeated about as often.
+_RETRY_AFTER: Seconds = 0.25
+_NEVER: Instant = float('inf')
+
+
+class Exchange(Protocol):
+    """What both kinds of exchanges offer to their driver."""
+
+    wake_at: Instant
+    is_done: bool
+    deadline: Instant
+
+    def start(self, now: Instant) -> list[Action]:
+        """Send what the request needs."""
+
+    def on_reply(
+        self, attempt_id: int, reply: UpstreamReply, now: Instant
+    ) -> list[Action]:
+        """Take a whole reply."""
+
+    def on_failure(
+        self, attempt_id: int, kind: FailureKind, now: Instant
+    ) -> list[Action]:
+        """Take the end of a send without a reply."""
+
+    def on_time(self, now: Instant) -> list[Action]:
+        """Do what is due at `wake_at`."""
+
+
+def exchange_deadline(request: CallerRequest, route: Route) -> Instant:
+    """Return when the caller must have its answer."""
+    allowed = route.timeout
+    if request.left is not None:
+        allowed = min(allowed, request.left)
+    return request.arrived_at + allowed
+
+
+class SingleExchange:
+    """Forwards a request to one upstream of one service."""
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        route: Route,
+        service: str,
+        context: CallContext,
+    ) -> None:
+        """Bind the request to the service that was chosen for it."""
+        self.deadline = exchange_deadline(request, route)
+        self.is_done = False
+        self.wake_at: Instant = _NEVER
+        self._latest = self.deadline - _ANSWER_TIME
+        self._call = Call(
+            context, route, service, self.deadline, self._latest
+        )
+
+    def start(self, now: Instant) -> list[Action]:
+        """Send the request for the first time."""
+        if now >= self._latest:
+            return self._deliver(Refusal('deadline', _RETRY_AFTER))
+        return self._settle(self._call.start(now), now)
+
+    def on_reply(
+        self, attempt_id: int, reply: UpstreamReply, now: Instant
+    ) -> list[Action]:
+        """Take a whole reply."""
+        return self._settle(self._call.on_reply(attempt_id, reply, now), now)
+
+    def on_failure(
+        self, attempt_id: int, kind: FailureKind, now: Instant
+    ) -> list[Action]:
+        """Take the end of a send without a reply."""
+        return self._settle(self._call.on_failure(attempt_id, kind, now), now)
+
+    def on_time(self, now: Instant) -> list[Action]:
+        """Hedge, retry, or give up at the deadline."""
+        return self._settle(self._call.on_time(now), now)
+
+    def _settle(self, actions: list[Action], now: Instant) -> list[Action]:
+        if self.is_done:
+            return actions
+        call = self._call
+        if not call.is_over and now < self._latest:
+            self.wake_at = min(call.wake_at, self._latest)
+            return actions
+        return actions + self._deliver(self._answer(now))
+
+    def _answer(self, now: Instant) -> Answer:
+        call = self._call
+        if call.reply is not None:
+            return ForwardReply(call.reply)
+        if call.failed_reply is not None:
+            return ForwardReply(call.failed_reply)
+        if not call.may_have_run:
+            return Refusal(call.reason or 'deadline', _RETRY_AFTER)
+        is_late = now >= self._latest
+        return Failure(call.reason or 'deadline', is_late)
+
+    def _deliver(self, answer: Answer) -> list[Action]:
+        self.is_done = True
+        self.wake_at = _NEVER
+        return [Deliver(answer)]
+
+
+class GatherExchange:
+    """Scatters a request to all shards of a route and merges the replies.
+
+    The shards are those of the desired state that was in force when the
+    request came. The answer goes out when all shards have settled; near
+    the route's target it goes out without the last ones if at least the
+    stated share is there, since a late answer is worth less than the
+    share that is missing.
+    """
+
+    def __init__(
+        self, request: CallerRequest, route: Route, context: CallContext
+    ) -> None:
+        """Bind the request to the shards of the route."""
+        self.deadline = exchange_deadline(request, route)
+        self.is_done = False
+        self.wake_at: Instant = _NEVER
+        self._route = route
+        self._context = context
+        self._latest = self.deadline - _ANSWER_TIME
+        self._cutoff = min(
+            self._latest,
+            request.arrived_at + route.target * (1 - _RETURN_PART),
+        )
+        self._calls = [
+            Call(context, route, service, self.deadline, self._latest)
+            for service in route.shards
+        ]
+        self._call_by_attempt: dict[int, Call] = {}
+
+    def start(self, now: Instant) -> list[Action]:
+        """Send the request to one upstream of each shard."""
+        refused = self._refuse_hopeless(now)
+        if refused is not None:
+            return self._deliver(refused)
+        actions: list[Action] = []
+        for call in self._calls:
+            actions.extend(self._track(call, call.start(now)))
+        return self._settle(actions, now)
+
+    def on_reply(
+        self, attempt_id: int, reply: UpstreamReply, now: Instant
+    ) -> list[Action]:
+        """Take a whole reply of one shard."""
+        call = self._call_by_attempt[attempt_id]
+        actions = call.on_reply(attempt_id, reply, now)
+        return self._settle(self._track(call, actions), now)
+
+    def on_failure(
+        self, attempt_id: int, kind: FailureKind, now: Instant
+    ) -> list[Action]:
+        """Take the end of a send without a reply."""
+        call = self._call_by_attempt[attempt_id]
+        actions = call.on_failure(attempt_id, kind, now)
+        return self._settle(self._track(call, actions), now)
+
+    def on_time(self, now: Instant) -> list[Action]:
+        """Hedge, retry, cut off or give up."""
+        actions: list[Action] = []
+        if now < self._cutoff or not self._has_least_share():
+            for call in self._calls:
+                if call.wake_at <= now:
+                    actions.extend(self._track(call, call.on_time(now)))
+        return self._settle(actions, now)
+
+    def missing_shards(self) -> dict[str, str]:
+        """Return the shards without a reply and why, for the log."""
+        return {
+            call.service: call.reason or 'pending'
+            for call in self._calls
+            if call.reply is None
+        }
+
+    def _refuse_hopeless(self, now: Instant) -> Refusal | None:
+        if now >= self._latest:
+            return Refusal('deadline', _RETRY_AFTER)
+        directory = self._context.directory
+        reachable = sum(
+            1
+            for call in self._calls
+            if any(
+                not upstream.health.is_unreachable
+                for upstream in directory.usable(call.service)
+            )
+        )
+        if self._suffices(reachable):
+            return None
+        return Refusal('shards-unreachable', _RETRY_AFTER)
+
+    def _settle(self, actions: list[Action], now: Instant) -> list[Action]:
+        if self.is_done:
+            return actions
+        answered = sum(1 for call in self._calls if call.reply is not None)
+        pending = sum(1 for call in self._calls if not call.is_over)
+        suffices = self._suffices(answered)
+        is_over = (
+            not pending
+            or now >= self._latest
+            or (suffices and now >= self._cutoff)
+            or not self._suffices(answered + pending)
+        )
+        if not is_over:
+            self._schedule(now)
+            return actions
+        if suffices:
+            return actions + self._deliver(self._merge())
+        return actions + self._deliver(self._give_up(now))
+
+    def _schedule(self, now: Instant) -> None:
+        wake_at = min(call.wake_at for call in self._calls)
+        if now < self._cutoff:
+            wake_at = min(wake_at, self._cutoff)
+        self.wake_at = min(wake_at, self._latest)
+
+    def _merge(self) -> MergedAnswer:
+        replies = [
+            call.reply for call in self._calls if call.reply is not None
+        ]
+        return MergedAnswer(
+            tuple(reply.digest for reply in replies),
+            len(self._calls) - len(replies),
+            merge_greatest(
+                (reply.body for reply in replies), self._route.merge.count
+            ),
+        )
+
+    def _give_up(self, now: Instant) -> Answer:
+        reasons = sorted(
+            {
+                call.reason or 'pending'
+                for call in self._calls
+                if call.reply is None
+            }
+        )
+        reason = ','.join(reasons)
+        if not any(call.may_have_run for call in self._calls):
+            return Refusal(reason, _RETRY_AFTER)
+        return Failure(reason, now >= self._latest)
+
+    def _has_least_share(self) -> bool:
+        answered = sum(1 for call in self._calls if call.reply is not None)
+        return self._suffices(answered)
+
+    def _suffices(self, shards: int) -> bool:
+        least = self._route.merge.least_share * len(self._calls)
+        return shards > 0 and shards >= least - 1e-9
+
+    def _track(self, call: Call, actions: list[Action]) -> list[Action]:
+        if call.attempts:
+            latest = call.attempts[-1]
+            if latest.is_pending:
+                self._call_by_attempt[latest.id] = call
+        return actions
+
+    def _deliver(self, answer: Answer) -> list[Action]:
+        self.is_done = True
+        self.wake_at = _NEVER
+        return [Deliver(answer)]
--- /dev/null
+++ b/src/sesametrack/vms/fleet_count.py
@@ -0,0 +1,47 @@
+"""How many VMs share the limits, from their heartbeats."""
+
+from sesametrack.contracts.types import Instant, Seconds, VmId
+
+# Three heartbeats of ten seconds and a little: a VM that is cut off from
+# the store may go on serving for longer, which the reserves of the shares
+# cover.
+_SILENT: Seconds = 40
+_REMOVED: Seconds = 120
+
+
+class FleetCount:
+    """Counts the VMs whose heartbeat has changed lately.
+
+    An entry counts from when it is first seen, so a VM that starts counts
+    all entries there are.
+    """
+
+    def __init__(self, vm: VmId) -> None:
+        """Count this VM itself in any case."""
+        self._vm = vm
+        self._seen_by_vm: dict[VmId, tuple[int, Instant]] = {}
+        self.count = 1
+        self.is_known = False
+
+    def observe(
+        self, heartbeat_by_vm: dict[VmId, int], now: Instant
+    ) -> list[VmId]:
+        """Take over the heartbeats; return entries to remove."""
+        self.is_known = True
+        seen: dict[VmId, tuple[int, Instant]] = {}
+        for vm, heartbeat in heartbeat_by_vm.items():
+            known = self._seen_by_vm.get(vm)
+            is_same = known is not None and known[0] == heartbeat
+            seen[vm] = known if is_same else (heartbeat, now)
+        self._seen_by_vm = seen
+        live = {
+            vm
+            for vm, (_, changed_at) in seen.items()
+            if now - changed_at < _SILENT
+        }
+        self.count = len(live | {self._vm})
+        return [
+            vm
+            for vm, (_, changed_at) in seen.items()
+            if vm != self._vm and now - changed_at >= _REMOVED
+        ]
