--- a/src/sesametrack/links/caller_server.py
+++ b/src/sesametrack/links/caller_server.py
@@ -170,6 +170,7 @@
         elif isinstance(event, EndOfMessage):
             self._pass_on()
         elif isinstance(event, ConnectionClosed):
+            self._is_lingering = True
             self._transport.close()
 
     def _expect_body(self) -> None:
--- a/src/sesametrack/links/sockets.py
+++ b/src/sesametrack/links/sockets.py
@@ -32,6 +32,4 @@
     sock.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, _PROBE_INTERVAL)
     sock.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, _PROBE_INTERVAL)
     sock.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, _PROBES)
-    sock.setsockopt(
-        IPPROTO_TCP, TCP_USER_TIMEOUT, int(_UNACKNOWLEDGED * _MS)
-    )
+    sock.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, int(_UNACKNOWLEDGED * _MS))
--- a/src/sesametrack/links/upstream_pool.py
+++ b/src/sesametrack/links/upstream_pool.py
@@ -42,9 +42,7 @@
     def on_reply(self, attempt_id: int, reply: UpstreamReply) -> None:
         """Take a whole reply."""
 
-    def on_failure(
-        self, attempt_id: int, kind: FailureKind, why: str
-    ) -> None:
+    def on_failure(self, attempt_id: int, kind: FailureKind, why: str) -> None:
         """Take the end of a send without a reply."""
 
     def on_connected(self, pool: 'UpstreamPool', elapsed: Seconds) -> None:
@@ -184,9 +182,7 @@
     def _write(
         self, connection: UpstreamConnection, pending: PendingSend
     ) -> None:
-        connection.send(
-            pending.attempt_id, pending.build(), pending.read_reply
-        )
+        connection.send(pending.attempt_id, pending.build(), pending.read_reply)
 
     def _rest(self, connection: UpstreamConnection) -> None:
         self._connections.add(connection)
--- a/src/sesametrack/platform/decoding.py
+++ b/src/sesametrack/platform/decoding.py
@@ -6,8 +6,8 @@
 
 from msgspec import Meta, Struct, ValidationError, convert, field
 
-from sesametrack.contracts.exceptions import InputError
 from sesametrack.contracts.decoding import convert_plain
+from sesametrack.contracts.exceptions import InputError
 from sesametrack.platform.store import StoreObject
 from sesametrack.routing.desired import (
     Branch,
@@ -143,7 +143,9 @@
         return convert_plain(spec, _DesiredState, 'config/main')
     except InputError as refused:
         log_event(
-            _log, 'desired-state-refused', path=refused.path,
+            _log,
+            'desired-state-refused',
+            path=refused.path,
             problem=refused.problem,
         )
         return None
--- a/src/sesametrack/platform/follower.py
+++ b/src/sesametrack/platform/follower.py
@@ -1,7 +1,7 @@
 """Follows the platform's objects and tells the product of changes."""
 
 from asyncio import Task, create_task, sleep
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from logging import getLogger
 from random import Random
 from typing import Protocol
@@ -34,6 +34,7 @@
 _OTHER_WAIT: Seconds = 25
 _FIRST_PAUSE: Seconds = 0.1
 _MAX_PAUSE: Seconds = 0.8
+_MAX_DOUBLINGS = 5
 
 _UPSTREAMS = 'servers'
 _DESIRED = 'config'
@@ -79,6 +80,7 @@
         self._rng = rng
         self._tasks: list[Task] = []
         self._connection_by_kind: dict[str, StoreConnection] = {}
+        self._failures_by_kind: dict[str, int] = {}
         self._evacuated: set[FailureDomainId] = set()
 
     @property
@@ -118,31 +120,30 @@
         on_list: Callable[[list[StoreObject]], None],
         on_change: Callable[[StoreObject, bool], None],
     ) -> None:
-        connection = self._connection_by_kind[kind]
-        failures = 0
-
-        async def run() -> None:
-            nonlocal failures
-            found, revision = await connection.list_objects(kind)
-            if failures:
-                self._listener.on_store_regained(kind)
-            failures = 0
-            on_list(found)
-            await self._watch(connection, kind, revision, wait, on_change)
-
         while True:
-            problem = await _catch(run)
-            if isinstance(problem, HistoryGoneError):
+            pause = _FIRST_PAUSE
+            try:
+                await self._list_and_watch(kind, wait, on_list, on_change)
+            except HistoryGoneError:
                 log_event(_log, 'history-gone', kind=kind)
-                await sleep(self._rng.random() * _FIRST_PAUSE)
-                continue
-            if not failures:
-                self._listener.on_store_lost(kind, str(problem))
-                self._drop_connections(kind)
-            failures += 1
-            pause = min(_MAX_PAUSE, _FIRST_PAUSE * 2 ** min(failures, 5))
+            except PlatformError as failed:
+                pause = self._note_loss(kind, failed)
             await sleep(pause * (0.5 + self._rng.random() / 2))
 
+    async def _list_and_watch(
+        self,
+        kind: str,
+        wait: Seconds,
+        on_list: Callable[[list[StoreObject]], None],
+        on_change: Callable[[StoreObject, bool], None],
+    ) -> None:
+        connection = self._connection_by_kind[kind]
+        found, revision = await connection.list_objects(kind)
+        if self._failures_by_kind.pop(kind, 0):
+            self._listener.on_store_regained(kind)
+        on_list(found)
+        await self._watch(connection, kind, revision, wait, on_change)
+
     async def _watch(
         self,
         connection: StoreConnection,
@@ -158,13 +159,21 @@
             revision = batch.store_revision
             await sleep(_GATHER_TIME)
 
-    def _drop_connections(self, kind: str) -> None:
-        """Renew the other watches: their connections may be silent too."""
-        if kind != _UPSTREAMS:
-            return
-        for other, connection in self._connection_by_kind.items():
-            if other != kind:
-                connection.close()
+    def _note_loss(self, kind: str, failed: PlatformError) -> Seconds:
+        """Tell of the loss once; return the pause before the next try."""
+        failures = self._failures_by_kind.get(kind, 0)
+        self._failures_by_kind[kind] = failures + 1
+        doublings = min(failures, _MAX_DOUBLINGS)
+        pause = min(_MAX_PAUSE, _FIRST_PAUSE * 2**doublings)
+        if failures:
+            return pause
+        self._listener.on_store_lost(kind, str(failed))
+        if kind == _UPSTREAMS:
+            # The connections of the other watches may be silent too.
+            for other, connection in self._connection_by_kind.items():
+                if other != kind:
+                    connection.close()
+        return pause
 
     def _list_config(self, found: list[StoreObject]) -> None:
         for one in found:
@@ -200,11 +209,3 @@
         else:
             self._evacuated.add(found.meta.name)
         self._listener.on_evacuated(frozenset(self._evacuated))
-
-
-async def _catch(run: Callable[[], Awaitable[None]]) -> PlatformError | None:
-    try:
-        await run()
-    except PlatformError as failed:
-        return failed
-    return None
--- a/src/sesametrack/platform/headers.py
+++ b/src/sesametrack/platform/headers.py
@@ -116,9 +116,7 @@
         return None
     load = _read_load(by_name.get(_LOAD))
     if _NOT_RUN in by_name:
-        return UpstreamReply(
-            ReplyKind.rejected, status, [], b'', load=load
-        )
+        return UpstreamReply(ReplyKind.rejected, status, [], b'', load=load)
     digest = by_name.get(_DIGEST, b'')
     is_success = _OK <= status < _LEAST_ERROR
     if is_success and (
@@ -147,9 +145,7 @@
         # Milliseconds suffice; clients take fractions.
         pause = ceil(answer.retry_after * _MS) / _MS
         headers = [echo, (_RETRY_AFTER, str(pause).encode())]
-        return OutgoingResponse(
-            _UNAVAILABLE, headers, answer.reason.encode()
-        )
+        return OutgoingResponse(_UNAVAILABLE, headers, answer.reason.encode())
     return _write_failure(answer, echo)
 
 
--- a/src/sesametrack/platform/store.py
+++ b/src/sesametrack/platform/store.py
@@ -4,7 +4,7 @@
 from typing import Any
 from urllib.parse import quote, urlencode
 
-from msgspec import DecodeError, Struct, ValidationError
+from msgspec import DecodeError, Struct, ValidationError, field
 from msgspec.json import Decoder, encode
 
 from sesametrack.contracts.exceptions import (
@@ -50,8 +50,8 @@
 
 
 class _Page(Struct):
-    items: list[StoreObject]
-    store_revision: int
+    objects: list[StoreObject] = field(name='items')
+    store_revision: int = 0
     has_more: bool = False
 
 
@@ -99,14 +99,12 @@
         found: list[StoreObject] = []
         revision: int | None = None
         async for page in self._pages(kind, may_be_stale):
-            found.extend(page.items)
+            found.extend(page.objects)
             # Changes between pages are seen again by a watch from here.
             revision = page.store_revision if revision is None else revision
         return found, revision or 0
 
-    async def watch(
-        self, kind: str, after: int, wait: Seconds
-    ) -> ChangeBatch:
+    async def watch(self, kind: str, after: int, wait: Seconds) -> ChangeBatch:
         """Wait for changes after a revision; may return none."""
         query = {'watch': after, 'wait_ms': int(wait * _MS)}
         reply = await self._read(kind, query, wait + _CALL_TIMEOUT)
@@ -138,9 +136,9 @@
             reply = await self._read(kind, query, _CALL_TIMEOUT)
             page = self._decode(_page_decoder, reply)
             yield page
-            if not page.has_more or not page.items:
+            if not page.has_more or not page.objects:
                 return
-            query['after'] = page.items[-1].meta.name
+            query['after'] = page.objects[-1].meta.name
 
     async def _read(
         self, kind: str, query: dict[str, str | int], timeout: Seconds
--- a/src/sesametrack/programs/forwarder.py
+++ b/src/sesametrack/programs/forwarder.py
@@ -244,9 +244,7 @@
             return
         for in_flight in self._in_flight_by_attempt.values():
             if in_flight.running is running:
-                in_flight.abort_at = min(
-                    in_flight.abort_at, now + _LEFT_GRACE
-                )
+                in_flight.abort_at = min(in_flight.abort_at, now + _LEFT_GRACE)
 
     def on_refused(self, status: int) -> None:
         """Count a request that broke a limit or the protocol."""
@@ -278,9 +276,7 @@
                 running, running.exchange.on_reply(attempt_id, reply, now), now
             )
 
-    def on_failure(
-        self, attempt_id: int, kind: FailureKind, why: str
-    ) -> None:
+    def on_failure(self, attempt_id: int, kind: FailureKind, why: str) -> None:
         """Take the end of a send without a reply."""
         in_flight = self._in_flight_by_attempt.pop(attempt_id, None)
         if in_flight is None:
@@ -425,9 +421,7 @@
             )
         )
 
-    def _deliver(
-        self, running: _Running, answer: Answer, now: Instant
-    ) -> None:
+    def _deliver(self, running: _Running, answer: Answer, now: Instant) -> None:
         connection = running.connection
         running.connection = None
         self._stop(running)
@@ -481,9 +475,7 @@
         refusal: Refusal,
     ) -> None:
         self._metrics.count('answers.refused')
-        log_event(
-            _log, 'refused', request_id=request.id, reason=refusal.reason
-        )
+        log_event(_log, 'refused', request_id=request.id, reason=refusal.reason)
         connection.respond(
             write_answer(refusal, request.id), is_last=self.is_stopping
         )
@@ -500,9 +492,7 @@
             path=request.path,
             version=self.routes.version,
         )
-        connection.respond(
-            write_unrouted(request.id), is_last=self.is_stopping
-        )
+        connection.respond(write_unrouted(request.id), is_last=self.is_stopping)
 
     # Pools.
 
--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -178,7 +178,9 @@
         if not self._forwarder.routes.apply(state):
             if state.version < before:
                 log_event(
-                    _log, 'older-state-ignored', version=state.version,
+                    _log,
+                    'older-state-ignored',
+                    version=state.version,
                     in_force=before,
                 )
             return
@@ -199,9 +201,7 @@
             records, steady_time(), is_after_outage=self._is_after_outage()
         )
         self._forwarder.forget(gone)
-        log_event(
-            _log, 'upstreams-listed', listed=len(records), gone=len(gone)
-        )
+        log_event(_log, 'upstreams-listed', listed=len(records), gone=len(gone))
 
     def on_upstream_changed(self, record: UpstreamRecord) -> None:
         """Take over one upstream's entry."""
--- a/src/sesametrack/routing/calls.py
+++ b/src/sesametrack/routing/calls.py
@@ -192,9 +192,7 @@
         if self.route.is_repeatable and reason != 'hedge':
             timing = self.context.timings.of(self.route)
             self.wake_at = now + timing.hedge_delay(self.route.target, now)
-        return [
-            Send(attempt.id, upstream, self.deadline, self.service, reason)
-        ]
+        return [Send(attempt.id, upstream, self.deadline, self.service, reason)]
 
     def _choose(self, now: Instant) -> Upstream | None:
         usable = self.context.directory.usable(self.service)
--- a/src/sesametrack/routing/exchanges.py
+++ b/src/sesametrack/routing/exchanges.py
@@ -77,9 +77,7 @@
         self.is_done = False
         self.wake_at: Instant = _NEVER
         self._latest = self.deadline - _ANSWER_TIME
-        self._call = Call(
-            context, route, service, self.deadline, self._latest
-        )
+        self._call = Call(context, route, service, self.deadline, self._latest)
 
     def start(self, now: Instant) -> list[Action]:
         """Send the request for the first time."""
@@ -244,9 +242,7 @@
         self.wake_at = min(wake_at, self._latest)
 
     def _merge(self) -> MergedAnswer:
-        replies = [
-            call.reply for call in self._calls if call.reply is not None
-        ]
+        replies = [call.reply for call in self._calls if call.reply is not None]
         return MergedAnswer(
             tuple(reply.digest for reply in replies),
             len(self._calls) - len(replies),
--- a/src/sesametrack/routing/health.py
+++ b/src/sesametrack/routing/health.py
@@ -104,9 +104,8 @@
 
     def oldest_age(self, now: Instant) -> Seconds:
         """Return for how long the oldest request has been under way."""
-        for sent_at in self.sent_at_by_attempt.values():
-            return now - sent_at
-        return 0
+        sent_at = next(iter(self.sent_at_by_attempt.values()), now)
+        return now - sent_at
 
     def expected_failures(self, now: Instant) -> float:
         """Return the share of requests that is likely to fail."""
--- a/src/sesametrack/telemetry/journal.py
+++ b/src/sesametrack/telemetry/journal.py
@@ -108,9 +108,7 @@
     def _tick(self, loop: AbstractEventLoop) -> None:
         if self.dropped:
             dropped, self.dropped = self.dropped, 0
-            log_event(
-                getLogger('journal'), 'lines-dropped', 30, count=dropped
-            )
+            log_event(getLogger('journal'), 'lines-dropped', 30, count=dropped)
         self.flush()
         self._timer = loop.call_later(_FLUSH_INTERVAL, self._tick, loop)
 
--- a/src/sesametrack/telemetry/metrics.py
+++ b/src/sesametrack/telemetry/metrics.py
@@ -6,7 +6,6 @@
 from sesametrack.contracts.settings import split_address
 from sesametrack.contracts.types import Address, Milliseconds
 
-
 _HIGHEST_US = 60_000_000
 _DIGITS = 2
 _US_PER_MS = 1000
--- /dev/null
+++ b/standins/searcher.py
@@ -0,0 +1,194 @@
+"""A stand-in for an upstream of the users' platform, with planned faults."""
+
+from asyncio import (
+    Server,
+    StreamReader,
+    StreamWriter,
+    sleep,
+    start_server,
+)
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from xxhash import xxh3_64_hexdigest
+
+_RECORD_BYTES = 16
+
+
+@dataclass(frozen=True, slots=True)
+class SeenRequest:
+    """A request that an upstream read."""
+
+    request_id: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(slots=True)
+class Plan:
+    """What a searcher does with its next requests; times in seconds.
+
+    `fault` names how an answer is spoiled: '' (not at all), 'shed',
+    'error', 'reset', 'mute', 'extra' (a late answer to another request
+    comes first), 'cut' (the body is short), 'unframed' (no length), 'junk'.
+    """
+
+    delay_s: float = 0
+    fault: str = ''
+    # After so many faulty answers the rest are good; None for no end.
+    faults_left: int | None = None
+
+
+@dataclass(slots=True)
+class SearcherStandin:
+    """Serves one address as one incarnation of an upstream."""
+
+    host: str
+    port: int
+    id: str
+    service: str
+    zone: str = 'north'
+    records: int = 5
+    plan: Plan = field(default_factory=Plan)
+    seen: list[SeenRequest] = field(default_factory=list)
+    ran: list[str] = field(default_factory=list)
+    connections: int = 0
+    _server: Server | None = None
+    _writers: set[StreamWriter] = field(default_factory=set)
+
+    @property
+    def entry(self) -> dict[str, object]:
+        """Return what the searcher writes of itself in the store."""
+        return {
+            'service': self.service,
+            'address': f'{self.host}:{self.port}',
+            'zone': self.zone,
+            'config_version': 'v1',
+            'slots': 2,
+            'state': 'ready',
+            'cold_left_ms': 0,
+            'sequence': 1,
+            'born': 1_700_000_000_000,
+        }
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await start_server(self._serve, self.host, self.port)
+
+    async def close(self) -> None:
+        """Stop listening and cut all connections."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def part(self, request_id: str) -> bytes:
+        """Return the records that answer a request."""
+        rng = Random(f'{self.service}/{request_id}')
+        return b''.join(
+            rng.randbytes(_RECORD_BYTES) for _ in range(self.records)
+        )
+
+    def digest(self, request_id: str) -> str:
+        """Return the signature of an answer."""
+        return xxh3_64_hexdigest(f'{self.service}/{request_id}'.encode())
+
+    async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while await self._serve_one(reader, writer):
+                await writer.drain()
+        except (OSError, EOFError):
+            self._writers.discard(writer)
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve_one(
+        self, reader: StreamReader, writer: StreamWriter
+    ) -> bool:
+        request = await _read_request(reader)
+        self.seen.append(request)
+        if request.headers.get('expect-instance') not in {None, self.id}:
+            writer.write(_reply(421, {'Instance-Id': self.id}, b''))
+            return True
+        fault = self._next_fault()
+        if fault == 'shed':
+            writer.write(_reply(503, {'Not-Executed': '1'}, b''))
+            return True
+        self.ran.append(request.request_id)
+        if self.plan.delay_s:
+            await sleep(self.plan.delay_s)
+        return self._answer(request, fault, writer)
+
+    def _next_fault(self) -> str:
+        if self.plan.faults_left is None:
+            return self.plan.fault
+        if self.plan.faults_left <= 0:
+            return ''
+        self.plan.faults_left -= 1
+        return self.plan.fault
+
+    def _answer(
+        self, request: SeenRequest, fault: str, writer: StreamWriter
+    ) -> bool:
+        body = self.part(request.request_id)
+        headers = {
+            'Request-Id': request.request_id,
+            'Server-Stamp': self.digest(request.request_id),
+            'Server-Load': '1,0,2',
+            'Keep-Alive': 'timeout=5',
+        }
+        whole = _reply(200, headers, body)
+        makers: dict[str, Callable[[], bytes]] = {
+            '': lambda: whole,
+            'error': lambda: _reply(500, headers, b'no'),
+            'extra': lambda: (
+                _reply(200, {**headers, 'Request-Id': 'other'}, b'x' * 32)
+                + whole
+            ),
+            'cut': lambda: whole[:-8],
+            'unframed': lambda: _reply(200, headers, body, is_framed=False),
+            'junk': lambda: b'\x00\x01 not a reply\r\n\r\n',
+        }
+        if fault == 'reset':
+            writer.transport.abort()
+            return False
+        if fault == 'mute':
+            return True
+        writer.write(makers[fault]())
+        return fault in {'', 'error', 'extra'}
+
+
+async def _read_request(reader: StreamReader) -> SeenRequest:
+    head = await reader.readuntil(b'\r\n\r\n')
+    first, *lines = head.decode('latin-1').split('\r\n')
+    method, path, _ = first.split(' ')
+    headers = {}
+    for line in lines:
+        name, colon, text = line.partition(':')
+        if colon:
+            headers[name.lower()] = text.strip()
+    length = int(headers.get('content-length', 0))
+    body = await reader.readexactly(length)
+    return SeenRequest(
+        headers.get('request-id', ''), method, path, headers, body
+    )
+
+
+def _reply(
+    status: int,
+    headers: dict[str, str],
+    body: bytes,
+    *,
+    is_framed: bool = True,
+) -> bytes:
+    lines = [f'HTTP/1.1 {status} Status']
+    lines.extend(f'{name}: {text}' for name, text in headers.items())
+    if is_framed:
+        lines.append(f'Content-Length: {len(body)}')
+    return '\r\n'.join([*lines, '', '']).encode('latin-1') + body
