--- a/src/sesametrack/contracts/router_settings.py
+++ b/src/sesametrack/contracts/router_settings.py
@@ -32,7 +32,8 @@
 
     `callers` takes requests, `readiness` answers the balancer. `peer_ports`
     are the first and the last port that daemons may use among themselves.
-    A stop must end within `stop_timeout_s` seconds.
+    A stop must end within `stop_timeout_s` seconds. `is_first_start` is true
+    while the whole system starts for the first time.
     """
 
     vm: _Name
@@ -45,6 +46,7 @@
     peer_ports: tuple[_Port, _Port] = (7380, 7395)
     retries: RetrySettings = RetrySettings()
     stop_timeout_s: _Seconds = 6
+    is_first_start: bool = True
     memory_mb: Annotated[int, Meta(ge=16)] = 300
     max_descriptors: Annotated[int, Meta(ge=64)] = 1024
 
--- a/src/sesametrack/links/upstream_pool.py
+++ b/src/sesametrack/links/upstream_pool.py
@@ -83,6 +83,11 @@
         """Number of connections that are open or opening."""
         return len(self._connections) + len(self._tasks)
 
+    @property
+    def is_opening(self) -> bool:
+        """Tell whether a connection is being opened."""
+        return bool(self._tasks)
+
     def send(self, pending: PendingSend) -> None:
         """Send on an idle connection, or wait for one."""
         connection = self._take_idle(pending)
--- a/src/sesametrack/platform/follower.py
+++ b/src/sesametrack/platform/follower.py
@@ -26,8 +26,10 @@
 from sesametrack.telemetry.journal import log_event
 
 # A watch returns at each event; waiting a moment before the next one lets
-# the events of a wave come in one call.
+# the events of a wave come in one call. Upstreams that leave go on serving
+# for seconds.
 _GATHER_TIME: Seconds = 0.15
+_UPSTREAM_GATHER_TIME: Seconds = 0.4
 # The upstreams' watch also shows whether the store is there: it returns so
 # often, well within the shortest drain time of the platform (3 s).
 _UPSTREAM_WAIT: Seconds = 2.5
@@ -106,6 +108,23 @@
                 create_task(self._follow(kind, wait, on_list, on_change))
             )
 
+    async def verify(self) -> bool:
+        """Find out now whether the store can still be reached.
+
+        If it can't, the watches are cut: they wait on silent connections.
+        """
+        probe = StoreConnection(self._address)
+        try:
+            await probe.list_objects(_EVACUATED, may_be_stale=True)
+        except PlatformError as failed:
+            log_event(_log, 'store-unreachable', problem=str(failed))
+            for connection in self._connection_by_kind.values():
+                connection.close()
+            return False
+        finally:
+            probe.close()
+        return True
+
     async def close(self) -> None:
         """Stop following."""
         for task in self._tasks:
@@ -157,7 +176,8 @@
             for change in batch.events:
                 on_change(change.object, change.deleted)
             revision = batch.store_revision
-            await sleep(_GATHER_TIME)
+            is_wave = kind == _UPSTREAMS and batch.events
+            await sleep(_UPSTREAM_GATHER_TIME if is_wave else _GATHER_TIME)
 
     def _note_loss(self, kind: str, failed: PlatformError) -> Seconds:
         """Tell of the loss once; return the pause before the next try."""
--- a/src/sesametrack/platform/registration.py
+++ b/src/sesametrack/platform/registration.py
@@ -22,7 +22,8 @@
 _KIND = 'sesametrack-vms'
 _INTERVAL: Seconds = 10
 _RETRY_PAUSE: Seconds = 1
-# VMs that start together see each other's entries only after a while.
+# When the whole system starts for the first time, VMs see each other's
+# entries only after a while; later there are entries of earlier processes.
 _FIRST_PAUSE: Seconds = 1.5
 _log = getLogger('registration')
 
@@ -43,8 +44,11 @@
         on_count: Callable[[int], None],
         now: Callable[[], Instant],
         rng: Random,
+        *,
+        is_first_start: bool,
     ) -> None:
         """Bind the names; `start` registers."""
+        self._is_first_start = is_first_start
         self._connection = StoreConnection(address)
         self._vm = vm
         self._domain = domain
@@ -68,7 +72,8 @@
 
     async def _run(self) -> None:
         await self._register()
-        await sleep(_FIRST_PAUSE)
+        if self._is_first_start:
+            await sleep(_FIRST_PAUSE)
         while True:
             pause = _INTERVAL
             try:
--- a/src/sesametrack/platform/store.py
+++ b/src/sesametrack/platform/store.py
@@ -21,7 +21,7 @@
 _PATH = '/sesametrack/objects'
 # The store answers within milliseconds; while it is slow by a factor of
 # about 60 an answer still takes a quarter of a second.
-_CONNECT_TIMEOUT: Seconds = 1
+_CONNECT_TIMEOUT: Seconds = 0.5
 _CALL_TIMEOUT: Seconds = 2
 _MS = 1000
 _OK = 200
--- a/src/sesametrack/programs/forwarder.py
+++ b/src/sesametrack/programs/forwarder.py
@@ -52,6 +52,7 @@
     Exchange,
     GatherExchange,
     SingleExchange,
+    is_servable,
 )
 from sesametrack.routing.pacing import ColdPacer
 from sesametrack.routing.routes import RouteTable
@@ -70,6 +71,11 @@
 _OVERDUE: Seconds = 0.25
 _SWEEP_INTERVAL: Seconds = 0.1
 _TRIM_INTERVAL: Seconds = 1
+# Why the connection of a send without a reply is closed.
+OVERDUE = 'overdue'
+_CALLER_LEFT = 'caller left'
+# A route counts as in use for so long after a request.
+_ROUTE_IN_USE: Seconds = 5
 # Connection attempts to an unreachable upstream repeat with these pauses.
 _FIRST_PROBE_PAUSE: Seconds = 0.25
 _MAX_PROBE_PAUSE: Seconds = 2
@@ -106,6 +112,7 @@
     sent_at: Instant
     abort_at: Instant
     reason: str
+    is_caller_gone: bool = False
 
 
 @dataclass(slots=True)
@@ -135,6 +142,8 @@
         self.directory = UpstreamDirectory()
         self.budget = budget
         self.is_stopping = False
+        # Set while this VM cannot reach what others may reach.
+        self.is_cut_off = False
         self.vm_count = UNKNOWN_FLEET
         self._metrics = metrics
         self._loop = loop
@@ -153,6 +162,7 @@
         self._running_by_connection: dict[CallerConnection, _Running] = {}
         self._in_flight_by_attempt: dict[int, _InFlight] = {}
         self._link_by_id: dict[UpstreamId, _Link] = {}
+        self._used_at_by_route: dict[str, tuple[Route, Instant]] = {}
         self._timers: list[TimerHandle | None] = [None, None]
 
     def start(self) -> None:
@@ -168,6 +178,11 @@
         for link in self._link_by_id.values():
             link.pool.close()
 
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether callers had better use another VM."""
+        return self.is_stopping or self.is_cut_off
+
     @property
     def busy(self) -> int:
         """Number of requests without an answer."""
@@ -178,6 +193,20 @@
         """Number of connections opened to listed upstreams."""
         return sum(link.pool.opened for link in self._link_by_id.values())
 
+    def unservable_routes(self) -> list[str]:
+        """Return the routes in use that reach too few upstreams now."""
+        earliest = self._now() - _ROUTE_IN_USE
+        self._used_at_by_route = {
+            name: (route, used_at)
+            for name, (route, used_at) in self._used_at_by_route.items()
+            if used_at >= earliest
+        }
+        return [
+            name
+            for name, (route, _) in self._used_at_by_route.items()
+            if not is_servable(route, self.directory)
+        ]
+
     def divide(self, vm_count: int) -> None:
         """Take this VM's share of every limit of the whole fleet."""
         self.vm_count = vm_count
@@ -214,7 +243,7 @@
             self._metrics.count('requests.bad')
             log_event(_log, 'bad-request', problem=str(refused))
             connection.respond(
-                write_bad_request(str(refused)), is_last=self.is_stopping
+                write_bad_request(str(refused)), is_last=self.is_leaving
             )
             return
         route = None
@@ -244,6 +273,7 @@
             return
         for in_flight in self._in_flight_by_attempt.values():
             if in_flight.running is running:
+                in_flight.is_caller_gone = True
                 in_flight.abort_at = min(in_flight.abort_at, now + _LEFT_GRACE)
 
     def on_refused(self, status: int) -> None:
@@ -283,6 +313,9 @@
             return
         now = self._now()
         self._record_failure(in_flight, attempt_id, f'{kind.value}: {why}', now)
+        if why == OVERDUE:
+            in_flight.upstream.health.record_unreachable(now)
+            self._probe(in_flight.upstream.id)
         running = in_flight.running
         if not running.exchange.is_done:
             self._perform(
@@ -296,10 +329,16 @@
         link = self._link_by_id.get(pool.upstream_id)
         if link is None:
             return
-        if link.upstream.health.is_unreachable:
-            log_event(_log, 'upstream-reachable', upstream=pool.upstream_id)
         link.failures = 0
+        if not link.upstream.health.is_unreachable:
+            return
+        log_event(_log, 'upstream-reachable', upstream=pool.upstream_id)
         link.upstream.health.record_reachable()
+        # Others of its failure domain may be back too.
+        domain = link.upstream.record.failure_domain
+        for other in list(self._link_by_id.values()):
+            if other.upstream.record.failure_domain == domain:
+                self._try_again(other)
 
     def on_unreachable(self, pool: UpstreamPool, why: str) -> None:
         """Take the failure to open a connection."""
@@ -332,7 +371,10 @@
         if link is None:
             return
         link.is_probed = False
-        if link.upstream.health.is_unreachable:
+        self._try_again(link)
+
+    def _try_again(self, link: _Link) -> None:
+        if link.upstream.health.is_unreachable and not link.pool.is_opening:
             link.pool.open()
 
     # Exchanges.
@@ -353,6 +395,7 @@
             request, route, exchange, connection, self.routes.version
         )
         self._running_by_connection[connection] = running
+        self._used_at_by_route[route.name] = (route, request.arrived_at)
         self._metrics.count('requests.started')
         now = self._now()
         self._perform(running, exchange.start(now), now)
@@ -437,7 +480,7 @@
             self._running_by_connection.pop(connection, None)
             connection.respond(
                 write_answer(answer, running.request.id),
-                is_last=self.is_stopping,
+                is_last=self.is_leaving,
             )
 
     def _stop(self, running: _Running) -> None:
@@ -477,7 +520,7 @@
         self._metrics.count('answers.refused')
         log_event(_log, 'refused', request_id=request.id, reason=refusal.reason)
         connection.respond(
-            write_answer(refusal, request.id), is_last=self.is_stopping
+            write_answer(refusal, request.id), is_last=self.is_leaving
         )
 
     def _answer_unrouted(
@@ -492,7 +535,7 @@
             path=request.path,
             version=self.routes.version,
         )
-        connection.respond(write_unrouted(request.id), is_last=self.is_stopping)
+        connection.respond(write_unrouted(request.id), is_last=self.is_leaving)
 
     # Pools.
 
@@ -560,7 +603,7 @@
             in_flight = self._in_flight_by_attempt[attempt_id]
             # Each attempt is aborted once; its end comes as a failure.
             in_flight.abort_at = float('inf')
-            in_flight.pool.abort(attempt_id, 'overdue')
+            in_flight.pool.abort(attempt_id, _why_aborted(in_flight))
         self.forget(self.directory.expire(now))
         self._timers[0] = self._loop.call_later(_SWEEP_INTERVAL, self._sweep)
 
@@ -592,6 +635,11 @@
         )
 
 
+def _why_aborted(in_flight: _InFlight) -> str:
+    """Tell silence from the leaving of a caller."""
+    return _CALLER_LEFT if in_flight.is_caller_gone else OVERDUE
+
+
 def _describe(answer: Answer) -> tuple[str, dict[str, object]]:
     """Return the outcome's name for logs and metrics, and its details."""
     if isinstance(answer, MergedAnswer):
--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -1,6 +1,14 @@
 """The router daemon: one on each VM."""
 
-from asyncio import Event, get_running_loop, run, sleep, wait_for
+from asyncio import (
+    Event,
+    Task,
+    TimerHandle,
+    get_running_loop,
+    run,
+    sleep,
+    wait_for,
+)
 from contextlib import suppress
 from logging import getLogger
 from os import environ
@@ -50,6 +58,9 @@
 # Kept back from the time for a stop, to close what is left.
 _CLOSE_TIME: Seconds = 0.6
 _POLL_INTERVAL: Seconds = 0.05
+# How often the reach of routes is looked at; the balancer asks each second.
+_REACH_INTERVAL: Seconds = 0.25
+_VERIFY_INTERVAL: Seconds = 2
 # For so long after the store's return, entries may be missing that lapsed
 # while it was away.
 _LAPSE_WINDOW: Seconds = 2.5
@@ -119,8 +130,13 @@
             self._on_vm_count,
             steady_time,
             rng,
+            is_first_start=settings.is_first_start,
         )
         self._lost_kinds: set[str] = set()
+        self._unservable: list[str] = []
+        self._verified_at: Instant = float('-inf')
+        self._tasks: set[Task] = set()
+        self._reach_timer: TimerHandle | None = None
         self._regained_at: Instant = float('-inf')
         self._stop = Event()
 
@@ -130,6 +146,7 @@
         await self._admin.start()
         await self._callers.start()
         self._forwarder.start()
+        self._check_reach()
         await self._follower.start()
         await self._registration.start()
         for number in (SIGTERM, SIGINT):
@@ -162,6 +179,10 @@
 
     async def close(self) -> None:
         """Close all sockets."""
+        if self._reach_timer is not None:
+            self._reach_timer.cancel()
+        for task in self._tasks:
+            task.cancel()
         await self._registration.close()
         await self._follower.close()
         await self._callers.close()
@@ -267,11 +288,39 @@
     @property
     def _is_ready(self) -> bool:
         return (
-            not self._forwarder.is_stopping
+            not self._forwarder.is_leaving
             and self._forwarder.routes.state is not None
             and self._forwarder.directory.is_known
         )
 
+    def _check_reach(self) -> None:
+        """Look whether this VM is cut off from what others may reach.
+
+        If routes in use reach too few upstreams and the store is out of
+        reach too, it is this VM that is cut off, and callers are better
+        served by others. Upstreams that are lost to all VMs are no reason
+        to send callers elsewhere.
+        """
+        self._unservable = self._forwarder.unservable_routes()
+        is_cut_off = bool(self._unservable and self._lost_kinds)
+        if is_cut_off is not self._forwarder.is_cut_off:
+            self._forwarder.is_cut_off = is_cut_off
+            log_event(
+                _log,
+                'cut-off' if is_cut_off else 'reaches-again',
+                routes=self._unservable,
+                lost=sorted(self._lost_kinds),
+            )
+        now = steady_time()
+        if self._unservable and now > self._verified_at + _VERIFY_INTERVAL:
+            self._verified_at = now
+            task = self._loop.create_task(self._follower.verify())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        self._reach_timer = self._loop.call_later(
+            _REACH_INTERVAL, self._check_reach
+        )
+
     async def _answer_readiness(self, request: HttpRequest) -> HttpResponse:
         return HttpResponse(_OK if self._is_ready else _UNAVAILABLE)
 
--- a/src/sesametrack/routing/budget.py
+++ b/src/sesametrack/routing/budget.py
@@ -35,12 +35,17 @@
     Each VM spends a part of what it has itself forwarded, plus its share
     of the slack, so that the sum over all VMs keeps the rule without a
     message between them. A process that has just started may follow one
-    that spent the slack, so it has none for the first window.
+    that spent its share of the slack, so for the first window it has only
+    the part that the former one left.
     """
 
-    # Part of the rule that is spent; the rest covers requests that the
-    # service counts into another window than this VM does.
-    safety = 0.9
+    # The rest covers requests that the service counts into another window
+    # than this VM does.
+    ratio_part = 0.95
+    # Together at most one: a process and the one that follows it within a
+    # window may both spend.
+    slack_part = 0.7
+    first_slack_part = 0.3
 
     def __init__(self, rule: BudgetRule, started_at: Instant) -> None:
         """Bind the rule; `started_at` is the start of this process."""
@@ -62,10 +67,11 @@
     def available(self, service: ServiceId, now: Instant) -> float:
         """Return how many extra sends are left now."""
         usage = self._roll(service, now)
-        allowed = self._rule.ratio * usage.requests
-        if now >= self._slack_from:
-            allowed += self._rule.slack / self._vm_count
-        return allowed * self.safety - usage.extras
+        is_first = now < self._slack_from
+        part = self.first_slack_part if is_first else self.slack_part
+        slack = self._rule.slack / self._vm_count * part
+        ratio = self._rule.ratio * self.ratio_part
+        return ratio * usage.requests + slack - usage.extras
 
     def spend(
         self, service: ServiceId, now: Instant, reserve: float = 0
--- a/src/sesametrack/routing/calls.py
+++ b/src/sesametrack/routing/calls.py
@@ -27,7 +27,7 @@
 # Pause before the same upstreams are tried again that had no room.
 _RETRY_PAUSE: Seconds = 0.008
 # Extra sends that hedges leave in the budget for retries after failures.
-_HEDGE_RESERVE = 2.0
+_HEDGE_RESERVE = 1.0
 _NEVER: Instant = float('inf')
 _MS = 1000
 
--- a/src/sesametrack/routing/exchanges.py
+++ b/src/sesametrack/routing/exchanges.py
@@ -5,6 +5,7 @@
 from sesametrack.contracts.types import Instant, Seconds
 from sesametrack.routing.calls import Call, CallContext
 from sesametrack.routing.desired import Route
+from sesametrack.routing.directory import UpstreamDirectory
 from sesametrack.routing.events import (
     Action,
     Answer,
@@ -21,13 +22,17 @@
 
 # Time kept back before the deadline to write the answer.
 _ANSWER_TIME: Seconds = 0.008
-# Part of a route's target that is left for the way back to the caller when
-# a gather answers without its last shards.
-_RETURN_PART = 0.2
+# Time that is left for the way back when a gather answers without its last
+# shards: two round trips to a caller some milliseconds away, and a part of
+# the target for what the caller's request waited before it was read.
+_RETURN_TIME: Seconds = 0.008
+_RETURN_PART = 0.06
 # When a refused caller may come back: a connection attempt to a lost
 # upstream is repeated about as often.
 _RETRY_AFTER: Seconds = 0.25
 _NEVER: Instant = float('inf')
+# Shares are given in decimals, which binary fractions only come near to.
+_ROUNDING = 1e-9
 
 
 class Exchange(Protocol):
@@ -62,6 +67,26 @@
     return request.arrived_at + allowed
 
 
+def is_servable(route: Route, directory: UpstreamDirectory) -> bool:
+    """Tell whether enough services of a route have a reachable upstream."""
+    reachable = sum(
+        1
+        for service in route.services
+        if any(
+            not upstream.health.is_unreachable
+            for upstream in directory.usable(service)
+        )
+    )
+    if route.merge is None:
+        return reachable > 0
+    return _is_enough(route, reachable)
+
+
+def _is_enough(route: Route, shards: int) -> bool:
+    least = route.merge.least_share * len(route.shards)
+    return shards > 0 and shards >= least - _ROUNDING
+
+
 class SingleExchange:
     """Forwards a request to one upstream of one service."""
 
@@ -149,7 +174,11 @@
         self._latest = self.deadline - _ANSWER_TIME
         self._cutoff = min(
             self._latest,
-            request.arrived_at + route.target * (1 - _RETURN_PART),
+            request.arrived_at
+            + max(
+                route.target / 2,
+                route.target * (1 - _RETURN_PART) - _RETURN_TIME,
+            ),
         )
         self._calls = [
             Call(context, route, service, self.deadline, self._latest)
@@ -203,16 +232,7 @@
     def _refuse_hopeless(self, now: Instant) -> Refusal | None:
         if now >= self._latest:
             return Refusal('deadline', _RETRY_AFTER)
-        directory = self._context.directory
-        reachable = sum(
-            1
-            for call in self._calls
-            if any(
-                not upstream.health.is_unreachable
-                for upstream in directory.usable(call.service)
-            )
-        )
-        if self._suffices(reachable):
+        if is_servable(self._route, self._context.directory):
             return None
         return Refusal('shards-unreachable', _RETRY_AFTER)
 
@@ -269,8 +289,7 @@
         return self._suffices(answered)
 
     def _suffices(self, shards: int) -> bool:
-        least = self._route.merge.least_share * len(self._calls)
-        return shards > 0 and shards >= least - 1e-9
+        return _is_enough(self._route, shards)
 
     def _track(self, call: Call, actions: list[Action]) -> list[Action]:
         if call.attempts:
