Bound the sends of a gather by one and a half targets

Cause: a gather that had been answered left its last sends running until the caller's deadline, so the queue of a slow upstream held work that nobody waited for; 142 rejections in 5 s while 17 upstreams were down and 16 slow. Ruled out: closing the connections of the last sends, which costs a new connection and breaks off work.

--- a/src/sesametrack/routing/calls.py
+++ b/src/sesametrack/routing/calls.py
@@ -71,6 +71,10 @@
     deadline: Instant
     # Until then it pays to send once more.
     useful_until: Instant
+    # Sends of before this instant are bound by it: a reply that comes later
+    # would not be waited for, and in an upstream's queue the request would
+    # only delay those that can still be answered in time.
+    early_limit: Instant = 0
     attempts: list[Attempt] = field(default_factory=list)
     reply: UpstreamReply | None = None
     failed_reply: UpstreamReply | None = None
@@ -192,7 +196,9 @@
         if self.route.is_repeatable and reason != 'hedge':
             timing = self.context.timings.of(self.route)
             self.wake_at = now + timing.hedge_delay(self.route.target, now)
-        return [Send(attempt.id, upstream, self.deadline, self.service, reason)]
+        is_early = now < self.early_limit
+        deadline = self.early_limit if is_early else self.deadline
+        return [Send(attempt.id, upstream, deadline, self.service, reason)]
 
     def _choose(self, now: Instant) -> Upstream | None:
         usable = self.context.directory.usable(self.service)
--- a/src/sesametrack/routing/exchanges.py
+++ b/src/sesametrack/routing/exchanges.py
@@ -27,6 +27,10 @@
 # the target for what the caller's request waited before it was read.
 _RETURN_TIME: Seconds = 0.008
 _RETURN_PART = 0.06
+# Part of the target after which a gather no longer waits for sends that it
+# made in time; it exceeds the cut-off so that a gather which then lacks its
+# least share can still take replies that are about to come.
+_EARLY_PART = 1.5
 # When a refused caller may come back: a connection attempt to a lost
 # upstream is repeated about as often.
 _RETRY_AFTER: Seconds = 0.25
@@ -180,8 +184,18 @@
                 route.target * (1 - _RETURN_PART) - _RETURN_TIME,
             ),
         )
+        early_limit = min(
+            self.deadline, request.arrived_at + route.target * _EARLY_PART
+        )
         self._calls = [
-            Call(context, route, service, self.deadline, self._latest)
+            Call(
+                context,
+                route,
+                service,
+                self.deadline,
+                self._latest,
+                early_limit,
+            )
             for service in route.shards
         ]
         self._call_by_attempt: dict[int, Call] = {}
