Choose carefully for requests that cannot be hedged, and tell other VMs of bad upstreams

Tried and reverted: keeping at most 0.4 of an upstream's connections open, so that VMs restarted after a loss of power find room among the connections that their former processes left. Conclusion: the late answers after the loss of power are those of callers whose first connection was tried while the VM was down.

--- a/src/sesametrack/links/gossip.py
+++ b/src/sesametrack/links/gossip.py
@@ -3,29 +3,35 @@
 from asyncio import DatagramProtocol, DatagramTransport, get_running_loop
 from collections.abc import Callable
 from logging import getLogger
+from typing import Any
 
-from msgspec import DecodeError, ValidationError
+from msgspec import DecodeError, Struct, ValidationError
 from msgspec.msgpack import Decoder, Encoder
 
 from sesametrack.contracts.members import GossipMessage
 from sesametrack.contracts.settings import split_address
 from sesametrack.contracts.types import Address
 
-Receiver = Callable[[GossipMessage, Address], None]
+Receiver = Callable[[Any, Address], None]
 
 _log = getLogger('gossip')
 
 
 class GossipLink(DatagramProtocol):
-    """Owns the gossip socket of one daemon."""
+    """Owns the socket for one type of datagrams of one daemon."""
 
-    def __init__(self, address: Address, receiver: Receiver) -> None:
+    def __init__(
+        self,
+        address: Address,
+        receiver: Receiver,
+        message_type: type[Struct] = GossipMessage,
+    ) -> None:
         """Bind address and receiver; `start` opens the socket."""
         self._address = address
         self._receiver = receiver
         self._transport: DatagramTransport | None = None
         self._encoder = Encoder()
-        self._decoder = Decoder(GossipMessage)
+        self._decoder = Decoder(message_type)
         self.sent_bytes = 0
         self.received_bytes = 0
 
@@ -40,7 +46,7 @@
         if self._transport is not None:
             self._transport.close()
 
-    def send(self, address: Address, message: GossipMessage) -> None:
+    def send(self, address: Address, message: Struct) -> None:
         """Send one message; a lost datagram is the protocol's business."""
         datagram = self._encoder.encode(message)
         self.sent_bytes += len(datagram)
--- a/src/sesametrack/platform/registration.py
+++ b/src/sesametrack/platform/registration.py
@@ -30,6 +30,8 @@
 
 class _Entry(Struct):
     failure_domain: str
+    # Where the VM takes datagrams of other VMs.
+    peer_address: str
     heartbeat: int
 
 
@@ -41,7 +43,8 @@
         address: Address,
         vm: VmId,
         domain: FailureDomainId,
-        on_count: Callable[[int], None],
+        peer_address: Address,
+        on_fleet: Callable[[int, list[Address]], None],
         now: Callable[[], Instant],
         rng: Random,
         *,
@@ -52,7 +55,8 @@
         self._connection = StoreConnection(address)
         self._vm = vm
         self._domain = domain
-        self._on_count = on_count
+        self._peer_address = peer_address
+        self._on_fleet = on_fleet
         self._now = now
         self._rng = rng
         # A restarted process must not repeat a heartbeat.
@@ -92,7 +96,7 @@
 
     async def _renew(self) -> None:
         self._heartbeat += 1
-        entry = {'failure_domain': self._domain, 'heartbeat': self._heartbeat}
+        entry = _Entry(self._domain, self._peer_address, self._heartbeat)
         try:
             await self._connection.create(_KIND, self._vm, entry)
         except ConflictError:
@@ -102,16 +106,22 @@
         found, _ = await self._connection.list_objects(
             _KIND, may_be_stale=self._fleet.is_known
         )
-        heartbeats = {
-            one.meta.name: entry.heartbeat
+        entry_by_vm = {
+            one.meta.name: entry
             for one in found
             if (entry := _read_entry(one)) is not None
         }
+        heartbeats = {vm: entry.heartbeat for vm, entry in entry_by_vm.items()}
         gone = self._fleet.observe(heartbeats, self._now())
         for vm in gone:
             log_event(_log, 'vm-entry-removed', vm=vm)
             await self._connection.delete(_KIND, vm)
-        self._on_count(self._fleet.count)
+        peers = [
+            entry_by_vm[vm].peer_address
+            for vm in sorted(self._fleet.live & entry_by_vm.keys())
+            if vm != self._vm
+        ]
+        self._on_fleet(self._fleet.count, peers)
 
 
 def _read_entry(found: StoreObject) -> _Entry | None:
--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -28,6 +28,7 @@
 )
 from sesametrack.contracts.settings import split_address
 from sesametrack.contracts.types import (
+    Address,
     FailureDomainId,
     Instant,
     Seconds,
@@ -39,6 +40,7 @@
 from sesametrack.platform.follower import Follower
 from sesametrack.platform.registration import Registration
 from sesametrack.programs.forwarder import Forwarder
+from sesametrack.programs.hinting import HintExchange
 from sesametrack.routing.budget import BudgetRule, RetryBudget
 from sesametrack.routing.desired import DesiredState
 from sesametrack.routing.directory import UpstreamRecord
@@ -123,11 +125,23 @@
             settings.address, settings.metrics_port, self._answer_metrics
         )
         self._follower = Follower(settings.platform, self, rng)
+        peer_address = f'{settings.address}:{settings.peer_ports[0]}'
+        self._hints = HintExchange(
+            settings.vm,
+            settings.failure_domain,
+            peer_address,
+            self._forwarder.directory,
+            self._metrics,
+            self._loop,
+            steady_time,
+            rng,
+        )
         self._registration = Registration(
             settings.platform,
             settings.vm,
             settings.failure_domain,
-            self._on_vm_count,
+            peer_address,
+            self._on_fleet,
             steady_time,
             rng,
             is_first_start=settings.is_first_start,
@@ -148,6 +162,7 @@
         self._forwarder.start()
         self._check_reach()
         await self._follower.start()
+        await self._hints.start()
         await self._registration.start()
         for number in (SIGTERM, SIGINT):
             self._loop.add_signal_handler(number, self._stop.set)
@@ -184,6 +199,7 @@
         for task in self._tasks:
             task.cancel()
         await self._registration.close()
+        await self._hints.close()
         await self._follower.close()
         await self._callers.close()
         self._forwarder.close()
@@ -274,7 +290,8 @@
     def _is_after_outage(self) -> bool:
         return steady_time() < self._regained_at + _LAPSE_WINDOW
 
-    def _on_vm_count(self, vm_count: int) -> None:
+    def _on_fleet(self, vm_count: int, peers: list[Address]) -> None:
+        self._hints.peers = peers
         if vm_count == self._forwarder.vm_count:
             return
         log_event(
--- a/src/sesametrack/routing/health.py
+++ b/src/sesametrack/routing/health.py
@@ -11,11 +11,15 @@
 # an upstream does not look like a slow upstream.
 _MAX_SLOWNESS = 8.0
 # What was learned of an upstream that gets no work fades with this time
-# constant, and the upstream is tried again.
+# constant, and the upstream is tried again: soon by requests that can be
+# hedged, late by those that would be lost to a slow upstream.
 _FADE: Seconds = 2.5
+_CAREFUL_FADE: Seconds = 12
 _FAILURES_TO_EJECT = 3
 _FIRST_EJECTION: Seconds = 0.5
 _MAX_EJECTION: Seconds = 4
+# VMs repeat hints while what they tell of lasts.
+_HINT_REPEAT: Seconds = 1.5
 # A load report counts for so long.
 _LOAD_AGE: Seconds = 0.25
 
@@ -39,6 +43,9 @@
     waiting: int = 0
     running: int = 0
     load_until: Instant = float('-inf')
+    hinted_slowness: float = 1
+    hinted_failure_rate: float = 0
+    hinted_at: Instant = float('-inf')
 
     @property
     def outstanding(self) -> int:
@@ -102,6 +109,16 @@
         self.waiting = waiting
         self.load_until = now + _LOAD_AGE
 
+    def record_hint(
+        self, slowness: float, failure_rate: float, now: Instant
+    ) -> bool:
+        """Keep what another VM has seen; return whether it is news."""
+        is_news = now - self.hinted_at > _HINT_REPEAT
+        self.hinted_slowness = slowness
+        self.hinted_failure_rate = failure_rate
+        self.hinted_at = now
+        return is_news
+
     def oldest_age(self, now: Instant) -> Seconds:
         """Return for how long the oldest request has been under way."""
         sent_at = next(iter(self.sent_at_by_attempt.values()), now)
@@ -109,13 +126,27 @@
 
     def expected_failures(self, now: Instant) -> float:
         """Return the share of requests that is likely to fail."""
-        return self._faded(self.failure_rate, 0, now)
+        own = self._faded(self.failure_rate, 0, now)
+        return max(own, self._hinted(self.hinted_failure_rate, 0, now, _FADE))
 
     def expected_time(
-        self, usual: Seconds, slots: int, now: Instant
+        self,
+        usual: Seconds,
+        slots: int,
+        now: Instant,
+        *,
+        is_careful: bool = False,
     ) -> Seconds:
-        """Return how long one more request is likely to take."""
-        service_time = usual * max(0.2, self._faded(self.slowness, 1, now))
+        """Return how long one more request is likely to take.
+
+        A careful estimate trusts what was learned for longer.
+        """
+        fade = _CAREFUL_FADE if is_careful else _FADE
+        slowness = max(
+            self._faded(self.slowness, 1, now, fade),
+            self._hinted(self.hinted_slowness, 1, now, fade),
+        )
+        service_time = usual * max(0.2, slowness)
         age = self.oldest_age(now)
         if age > 2 * service_time:
             # A reply is overdue: the upstream may be paused or gone.
@@ -133,7 +164,17 @@
         self.ejections += 1
         self.ejected_until = now + pause
 
-    def _faded(self, level: float, rest: float, now: Instant) -> float:
+    def _hinted(
+        self, level: float, rest: float, now: Instant, fade: Seconds
+    ) -> float:
+        if self.hinted_at <= self.updated_at or level == rest:
+            # What this VM has seen since then counts more.
+            return rest
+        return rest + (level - rest) * exp((self.hinted_at - now) / fade)
+
+    def _faded(
+        self, level: float, rest: float, now: Instant, fade: Seconds = _FADE
+    ) -> float:
         if level == rest:
             return rest
-        return rest + (level - rest) * exp((self.updated_at - now) / _FADE)
+        return rest + (level - rest) * exp((self.updated_at - now) / fade)
--- /dev/null
+++ b/src/sesametrack/routing/hints.py
@@ -0,0 +1,96 @@
+"""What VMs tell each other of upstreams that are not as they should be."""
+
+from msgspec import Struct
+
+from sesametrack.contracts.types import (
+    FailureDomainId,
+    Instant,
+    Milliseconds,
+    Seconds,
+    UpstreamId,
+    VmId,
+)
+from sesametrack.routing.directory import Upstream, UpstreamDirectory
+
+# Own evidence is told while it is so fresh.
+_FRESH: Seconds = 0.8
+# From here on an upstream counts as slow, failing or silent.
+_SLOW = 2.5
+_FAILING = 0.4
+_SILENT: Seconds = 0.3
+_SILENT_SLOWNESS = 8.0
+# A datagram must fit the smallest usual path: about 30 bytes a hint.
+_MAX_HINTS = 32
+
+
+class Hint(Struct, frozen=True, array_like=True):
+    """What one VM has just seen of one incarnation of an upstream."""
+
+    upstream: UpstreamId
+    started_ms: Milliseconds
+    slowness: float
+    failure_rate: float
+    is_unreachable: bool
+
+
+class HintMessage(Struct, frozen=True, array_like=True):
+    """Hints of one VM."""
+
+    vm: VmId
+    failure_domain: FailureDomainId
+    hints: list[Hint]
+
+
+def collect_hints(directory: UpstreamDirectory, now: Instant) -> list[Hint]:
+    """Return this VM's own fresh evidence of bad upstreams."""
+    found = [
+        hint
+        for upstream in directory.by_id.values()
+        if (hint := _describe(upstream, now)) is not None
+    ]
+    found.sort(key=lambda hint: -hint.slowness)
+    return found[:_MAX_HINTS]
+
+
+def apply_hints(
+    directory: UpstreamDirectory,
+    message: HintMessage,
+    own_domain: FailureDomainId,
+    now: Instant,
+) -> list[UpstreamId]:
+    """Take over a peer's evidence; return the upstreams it is news of.
+
+    That a peer cannot reach an upstream says something here only if the
+    peer shares this VM's paths or the upstream's: between other failure
+    domains it may be the path that is cut.
+    """
+    concerned = []
+    for hint in message.hints:
+        upstream = directory.by_id.get(hint.upstream)
+        if upstream is None or upstream.record.started_ms != hint.started_ms:
+            continue
+        near = {own_domain, upstream.record.failure_domain}
+        if hint.is_unreachable and message.failure_domain not in near:
+            continue
+        if upstream.health.record_hint(hint.slowness, hint.failure_rate, now):
+            concerned.append(hint.upstream)
+    return concerned
+
+
+def _describe(upstream: Upstream, now: Instant) -> Hint | None:
+    health = upstream.health
+    is_silent = health.oldest_age(now) > _SILENT
+    is_fresh = now - health.updated_at < _FRESH
+    slowness = health.slowness if is_fresh else 1
+    failure_rate = health.failure_rate if is_fresh else 0
+    if is_silent or health.is_unreachable:
+        slowness = _SILENT_SLOWNESS
+    if slowness < _SLOW and failure_rate < _FAILING:
+        return None
+    return Hint(
+        upstream.id,
+        upstream.record.started_ms,
+        round(slowness, 1),
+        round(failure_rate, 2),
+        health.is_unreachable or is_silent,
+    )
--- a/src/sesametrack/routing/selection.py
+++ b/src/sesametrack/routing/selection.py
@@ -40,9 +40,13 @@
         usual: Seconds,
         max_outstanding: int,
         now: Instant,
+        *,
+        is_careful: bool = False,
     ) -> Upstream | None:
         """Return the best upstream with room, None if there is none.
 
+        A request that cannot be hedged is chosen for carefully.
+
         Ejected upstreams are a last resort, and unreachable ones get
         nothing until a connection to them opens again.
         """
@@ -56,16 +60,26 @@
                 continue
             if not self._pacer.allows(upstream, now):
                 continue
-            score = (health.is_ejected(now), self._score(upstream, usual, now))
+            score = (
+                health.is_ejected(now),
+                self._score(upstream, usual, now, is_careful=is_careful),
+            )
             if score < best_score:
                 best, best_score = upstream, score
         return best
 
     def _score(
-        self, upstream: Upstream, usual: Seconds, now: Instant
+        self,
+        upstream: Upstream,
+        usual: Seconds,
+        now: Instant,
+        *,
+        is_careful: bool,
     ) -> Seconds:
         health = upstream.health
-        expected = health.expected_time(usual, upstream.record.slots, now)
+        expected = health.expected_time(
+            usual, upstream.record.slots, now, is_careful=is_careful
+        )
         expected += health.expected_failures(now) * _FAILURE_COST
         if upstream.record.failure_domain != self._domain:
             expected = expected * _DOMAIN_FACTOR + _DOMAIN_PENALTY
--- a/src/sesametrack/vms/fleet_count.py
+++ b/src/sesametrack/vms/fleet_count.py
@@ -20,9 +20,14 @@
         """Count this VM itself in any case."""
         self._vm = vm
         self._seen_by_vm: dict[VmId, tuple[int, Instant]] = {}
-        self.count = 1
+        self.live: set[VmId] = {vm}
         self.is_known = False
 
+    @property
+    def count(self) -> int:
+        """Number of VMs that share the limits, this one included."""
+        return len(self.live)
+
     def observe(
         self, heartbeat_by_vm: dict[VmId, int], now: Instant
     ) -> list[VmId]:
@@ -34,12 +39,11 @@
             is_same = known is not None and known[0] == heartbeat
             seen[vm] = known if is_same else (heartbeat, now)
         self._seen_by_vm = seen
-        live = {
+        self.live = {self._vm} | {
             vm
             for vm, (_, changed_at) in seen.items()
             if now - changed_at < _SILENT
         }
-        self.count = len(live | {self._vm})
         return [
             vm
             for vm, (_, changed_at) in seen.items()
--- a/tests/test_upstream_health.py
+++ b/tests/test_upstream_health.py
@@ -30,6 +30,19 @@
         self.assertGreater(soon, 2 * _USUAL)
         self.assertLess(later, 1.1 * _USUAL)
 
+    def test_careful_estimate(self) -> None:
+        """A request that cannot be hedged does not try a slow upstream.
+
+        Pattern: one of four upstreams slow by eight for eight seconds, and
+        seven VMs that each send it one request in a while.
+        """
+        health = UpstreamHealth()
+        self.exchange(health, 0, 0.1)
+        hedged = health.expected_time(_USUAL, 2, 6)
+        careful = health.expected_time(_USUAL, 2, 6, is_careful=True)
+        self.assertLess(hedged, 1.5 * _USUAL)
+        self.assertGreater(careful, 1.8 * _USUAL)
+
     def test_silent_upstream(self) -> None:
         """An overdue reply counts for as long as it is overdue."""
         health = UpstreamHealth()
