--- a/src/sesametrack/programs/hinting.py
+++ b/src/sesametrack/programs/hinting.py
@@ -16,6 +16,7 @@
 from sesametrack.routing.directory import UpstreamDirectory
 from sesametrack.routing.hints import (
     HintMessage,
+    PeerReach,
     apply_hints,
     collect_hints,
 )
@@ -25,6 +26,8 @@
 # An upstream's slowness lasts for seconds; a hint must come well before
 # most VMs have found out by themselves.
 _INTERVAL: Seconds = 0.2
+# Without hints, a message each second tells that this VM can serve.
+_HEARTBEAT_INTERVAL: Seconds = 1
 # Each message goes to so many VMs at most, chosen anew each time.
 _MAX_PEERS = 8
 
@@ -47,6 +50,11 @@
     ) -> None:
         """Bind the parts; `start` opens the socket."""
         self.peers: list[Address] = []
+        self.reach = PeerReach()
+        # What this VM tells of itself.
+        self.is_ready = False
+        self.unservable: list[str] = []
+        self._told_at: Instant = float('-inf')
         self._vm = vm
         self._domain = domain
         self._directory = directory
@@ -69,21 +77,26 @@
         await self._link.close()
 
     def _tick(self) -> None:
-        hints = collect_hints(self._directory, self._now())
-        if hints and self.peers:
+        now = self._now()
+        hints = collect_hints(self._directory, now)
+        is_due = now >= self._told_at + _HEARTBEAT_INTERVAL
+        if self.peers and (hints or is_due or self.unservable):
+            self._told_at = now
             chosen = self.peers
             if len(chosen) > _MAX_PEERS:
                 chosen = self._rng.sample(chosen, _MAX_PEERS)
-            message = HintMessage(self._vm, self._domain, hints)
+            message = HintMessage(
+                self._vm, self._domain, hints, self.is_ready, self.unservable
+            )
             for peer in chosen:
                 self._link.send(peer, message)
             self._metrics.count('hints.sent', len(chosen))
         self._timer = self._loop.call_later(_INTERVAL, self._tick)
 
     def _take(self, message: HintMessage, address: Address) -> None:
-        concerned = apply_hints(
-            self._directory, message, self._domain, self._now()
-        )
+        now = self._now()
+        self.reach.observe(message, now)
+        concerned = apply_hints(self._directory, message, self._domain, now)
         self._metrics.count('hints.taken', len(concerned))
         if concerned:
             log_event(_log, 'hints-taken', peer=message.vm, upstreams=concerned)
--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -313,13 +313,15 @@
     def _check_reach(self) -> None:
         """Look whether this VM is cut off from what others may reach.
 
-        If routes in use reach too few upstreams and the store is out of
-        reach too, it is this VM that is cut off, and callers are better
-        served by others. Upstreams that are lost to all VMs are no reason
-        to send callers elsewhere.
+        If routes in use reach too few upstreams, callers are better served
+        elsewhere if another VM says that it can serve these routes, or if
+        the store is out of reach too and so this VM is cut off. Upstreams
+        that are lost to all VMs are no reason to send callers elsewhere.
         """
+        now = steady_time()
         self._unservable = self._forwarder.unservable_routes()
-        is_cut_off = bool(self._unservable and self._lost_kinds)
+        serving = self._hints.reach.vms_serving(self._unservable, now)
+        is_cut_off = bool(self._unservable and (self._lost_kinds or serving))
         if is_cut_off is not self._forwarder.is_cut_off:
             self._forwarder.is_cut_off = is_cut_off
             log_event(
@@ -327,8 +329,10 @@
                 'cut-off' if is_cut_off else 'reaches-again',
                 routes=self._unservable,
                 lost=sorted(self._lost_kinds),
+                served_by=serving,
             )
-        now = steady_time()
+        self._hints.unservable = self._unservable
+        self._hints.is_ready = self._is_ready
         if self._unservable and now > self._verified_at + _VERIFY_INTERVAL:
             self._verified_at = now
             task = self._loop.create_task(self._follower.verify())
--- a/src/sesametrack/routing/hints.py
+++ b/src/sesametrack/routing/hints.py
@@ -19,6 +19,8 @@
 _FAILING = 0.4
 _SILENT: Seconds = 0.3
 _SILENT_SLOWNESS = 8.0
+# Messages come at least each second; two may be lost.
+_HEARD: Seconds = 2.5
 # A datagram must fit the smallest usual path: about 30 bytes a hint.
 _MAX_HINTS = 32
 
@@ -39,6 +41,31 @@
     vm: VmId
     failure_domain: FailureDomainId
     hints: list[Hint]
+    # Whether the VM takes callers, and the routes that it cannot serve.
+    is_ready: bool = True
+    unservable: list[str] = []
+
+
+class PeerReach:
+    """Which routes the other VMs can serve, as they said lately."""
+
+    def __init__(self) -> None:
+        """Start without having heard of any VM."""
+        self._heard_by_vm: dict[VmId, tuple[HintMessage, Instant]] = {}
+
+    def observe(self, message: HintMessage, now: Instant) -> None:
+        """Keep a VM's latest message."""
+        self._heard_by_vm[message.vm] = (message, now)
+
+    def vms_serving(self, routes: list[str], now: Instant) -> list[VmId]:
+        """Return the ready VMs that can serve all of these routes."""
+        return [
+            vm
+            for vm, (message, heard_at) in self._heard_by_vm.items()
+            if now - heard_at < _HEARD
+            and message.is_ready
+            and not set(routes) & set(message.unservable)
+        ]
 
 
 def collect_hints(directory: UpstreamDirectory, now: Instant) -> list[Hint]:
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -7,7 +7,12 @@
 from testtools import TestCase
 
 from sesametrack.routing.directory import Upstream, UpstreamDirectory
-from sesametrack.routing.hints import HintMessage, apply_hints, collect_hints
+from sesametrack.routing.hints import (
+    HintMessage,
+    PeerReach,
+    apply_hints,
+    collect_hints,
+)
 from tests.router_builders import make_directory, make_record
 
 _USUAL = 0.01
@@ -82,6 +87,22 @@
         self.assertEqual([], self.tell(1.2, domain='west', own='west'))
         self.assertEqual(['s-0'], self.tell(3, domain='north', own='west'))
 
+    def test_routes_that_others_serve(self) -> None:
+        """A VM counts as serving while it says so, is ready and is heard.
+
+        Pattern: two failure domains cannot reach each other and a third is
+        cut off, so that the VMs of one find no replica, with the store in
+        reach, while others do.
+        """
+        reach = PeerReach()
+        reach.observe(HintMessage('a', 'north', [], True, ['r1']), 1)
+        reach.observe(HintMessage('b', 'north', [], False, []), 1)
+        self.assertEqual([], reach.vms_serving(['r1'], 1.5))
+        self.assertEqual(['a'], reach.vms_serving(['r2'], 1.5))
+        reach.observe(HintMessage('b', 'north', [], True, []), 2)
+        self.assertEqual(['b'], reach.vms_serving(['r1'], 2.5))
+        self.assertEqual([], reach.vms_serving(['r1'], 6))
+
     def test_other_incarnation(self) -> None:
         """A hint about an earlier start says nothing of this one."""
         self.there.by_id['s-0'].health.record_unreachable(1)
