--- a/src/sesametrack/links/upstream_pool.py
+++ b/src/sesametrack/links/upstream_pool.py
@@ -21,7 +21,7 @@
 # Parts of the idle time an upstream allows for which a connection is used
 # again: the close of an idle one may cross a request, and a request that
 # may not be repeated must not be lost so.
-_KEEP_PART = 0.75
+_KEEP_PART = 0.85
 _SAFE_KEEP_PART = 0.4
 
 
--- a/src/sesametrack/programs/forwarder.py
+++ b/src/sesametrack/programs/forwarder.py
@@ -76,6 +76,13 @@
 _CALLER_LEFT = 'caller left'
 # A route counts as in use for so long after a request.
 _ROUTE_IN_USE: Seconds = 5
+# A timer that fires so late shows that the process lags behind its input.
+_LAG: Seconds = 0.002
+_DEFERRAL: Seconds = 0.0005
+# Connections are opened ahead of need a few at a time.
+_WARM_BATCH = 8
+_WARM_USUAL: Seconds = 0.01
+_WARM_PAUSE: Seconds = 0.02
 # Connection attempts to an unreachable upstream repeat with these pauses.
 _FIRST_PROBE_PAUSE: Seconds = 0.25
 _MAX_PROBE_PAUSE: Seconds = 2
@@ -95,6 +102,7 @@
     version: int
     timer: TimerHandle | None = None
     timer_at: Instant = float('inf')
+    is_deferred: bool = False
     sends: int = 0
     hedges: int = 0
     retries: int = 0
@@ -223,6 +231,36 @@
         self._timings.retain({route.name for route in state.routes})
         self.divide(self.vm_count)
 
+    def warm(self) -> None:
+        """Open a connection to the likely upstream of each shard.
+
+        The first gather of a process would else open as many at once.
+        """
+        if self.routes.state is None or not self.directory.is_known:
+            return
+        now = self._now()
+        services = {
+            service
+            for route in self.routes.state.routes
+            for service in route.shards
+        }
+        chosen = [
+            self._context.selector.choose(
+                self.directory.usable(service), set(), _WARM_USUAL, 1, now
+            )
+            for service in sorted(services)
+        ]
+        self._open_ahead([one for one in chosen if one is not None])
+
+    def _open_ahead(self, upstreams: list[Upstream]) -> None:
+        for upstream in upstreams[:_WARM_BATCH]:
+            link = self._link(upstream)
+            if not link.pool.size and not upstream.is_replaced:
+                link.pool.open()
+        rest = upstreams[_WARM_BATCH:]
+        if rest:
+            self._loop.call_later(_WARM_PAUSE, self._open_ahead, rest)
+
     def forget(self, upstream_ids: list[UpstreamId]) -> None:
         """Let go of upstreams that are no longer listed."""
         for upstream_id in upstream_ids:
@@ -505,10 +543,20 @@
 
     def _wake(self, running: _Running) -> None:
         running.timer = None
-        running.timer_at = float('inf')
+        planned_at, running.timer_at = running.timer_at, float('inf')
         if running.exchange.is_done:
             return
         now = self._now()
+        if now - planned_at > _LAG and not running.is_deferred:
+            # This process is late, so replies may lie unread: they are read
+            # before it is decided that an upstream is slow.
+            running.is_deferred = True
+            running.timer_at = now
+            running.timer = self._loop.call_later(
+                _DEFERRAL, self._wake, running
+            )
+            return
+        running.is_deferred = False
         self._perform(running, running.exchange.on_time(now), now)
 
     def _refuse(
--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -147,6 +147,7 @@
             is_first_start=settings.is_first_start,
         )
         self._lost_kinds: set[str] = set()
+        self._is_warm = False
         self._unservable: list[str] = []
         self._verified_at: Instant = float('-inf')
         self._tasks: set[Task] = set()
@@ -292,6 +293,10 @@
 
     def _on_fleet(self, vm_count: int, peers: list[Address]) -> None:
         self._hints.peers = peers
+        if not self._is_warm:
+            self._is_warm = True
+            self._forwarder.divide(vm_count)
+            self._forwarder.warm()
         if vm_count == self._forwarder.vm_count:
             return
         log_event(
