Let the VMs of a large failure domain follow three that watch the store

Change: three VMs of each failure domain, ranked by hash, watch the store and answer its lists and watches for the others, with the store's revisions; a follower passes a relay over that fails or has not heard the store for 2.1 s, and asks the store if none is left. Heartbeats are rarer in a large fleet.

--- a/src/sesametrack/platform/follower.py
+++ b/src/sesametrack/platform/follower.py
@@ -1,7 +1,9 @@
 """Follows the platform's objects and tells the product of changes."""
 
-from asyncio import Task, create_task, sleep
+from asyncio import Event as AsyncEvent
+from asyncio import Task, create_task, sleep, wait_for
 from collections.abc import Callable
+from contextlib import suppress
 from logging import getLogger
 from random import Random
 from typing import Protocol
@@ -11,8 +13,8 @@
     PlatformError,
 )
 from sesametrack.contracts.types import (
-    Address,
     FailureDomainId,
+    Instant,
     Seconds,
     UpstreamId,
 )
@@ -20,10 +22,12 @@
     decode_desired_state,
     decode_upstream,
 )
+from sesametrack.platform.relay import Relay
 from sesametrack.platform.store import ChangeBatch, StoreConnection, StoreObject
 from sesametrack.routing.desired import DesiredState
 from sesametrack.routing.directory import UpstreamRecord
 from sesametrack.telemetry.journal import log_event
+from sesametrack.vms.watchers import Sources
 
 # A watch returns at each event; waiting a moment before the next one lets
 # the events of a wave come in one call. Upstreams that leave go on serving
@@ -34,6 +38,14 @@
 # often, well within the shortest drain time of the platform (3 s).
 _UPSTREAM_WAIT: Seconds = 2.5
 _OTHER_WAIT: Seconds = 25
+# Other VMs that follow a relay must learn in time that it has lost the store:
+# a watch of the relay and its margin, one of the follower, and a list fit the
+# drain time.
+_RELAYED_WAIT: Seconds = 1.2
+_FOLLOWER_WAIT: Seconds = 0.6
+RELAY_MAX_AGE: Seconds = 2.1
+_SWITCH_PAUSE: Seconds = 0.02
+_ASSIGNMENT_TIME: Seconds = 3
 _FIRST_PAUSE: Seconds = 0.1
 _MAX_PAUSE: Seconds = 0.8
 _MAX_DOUBLINGS = 5
@@ -74,10 +86,19 @@
     """Owns one connection and one task for each kind of object."""
 
     def __init__(
-        self, address: Address, listener: Listener, rng: Random
+        self,
+        sources: Sources,
+        relay: Relay,
+        listener: Listener,
+        now: Callable[[], Instant],
+        rng: Random,
     ) -> None:
-        """Bind the store's address; `start` connects."""
-        self._address = address
+        """Bind whom to ask and who is told; `start` connects."""
+        self._sources = sources
+        self._relay = relay
+        self._now = now
+        self._is_relaying = False
+        self._assigned = AsyncEvent()
         self._listener = listener
         self._rng = rng
         self._tasks: list[Task] = []
@@ -90,8 +111,18 @@
         """Number of calls made to the store."""
         return sum(one.calls for one in self._connection_by_kind.values())
 
-    async def start(self) -> None:
-        """Follow all kinds until `close`."""
+    def assign(self, *, is_relaying: bool) -> None:
+        """Note that the sources are known, and whether others follow."""
+        self._is_relaying = is_relaying
+        self._assigned.set()
+
+    async def start(self, *, is_first_start: bool) -> None:
+        """Follow all kinds until `close`.
+
+        When the whole system starts, it is first found out whom to follow.
+        """
+        if not is_first_start:
+            self._assigned.set()
         kinds: tuple[tuple[str, Seconds, Callable, Callable], ...] = (
             (_DESIRED, _OTHER_WAIT, self._list_config, self._change_config),
             (
@@ -103,7 +134,9 @@
             (_EVACUATED, _OTHER_WAIT, self._list_zones, self._change_zone),
         )
         for kind, wait, on_list, on_change in kinds:
-            self._connection_by_kind[kind] = StoreConnection(self._address)
+            self._connection_by_kind[kind] = StoreConnection(
+                self._sources.store
+            )
             self._tasks.append(
                 create_task(self._follow(kind, wait, on_list, on_change))
             )
@@ -113,7 +146,7 @@
 
         If it can't, the watches are cut: they wait on silent connections.
         """
-        probe = StoreConnection(self._address)
+        probe = StoreConnection(self._sources.store)
         try:
             await probe.list_objects(_EVACUATED, may_be_stale=True)
         except PlatformError as failed:
@@ -139,6 +172,8 @@
         on_list: Callable[[list[StoreObject]], None],
         on_change: Callable[[StoreObject, bool], None],
     ) -> None:
+        with suppress(TimeoutError):
+            await wait_for(self._assigned.wait(), _ASSIGNMENT_TIME)
         while True:
             pause = _FIRST_PAUSE
             try:
@@ -157,7 +192,11 @@
         on_change: Callable[[StoreObject, bool], None],
     ) -> None:
         connection = self._connection_by_kind[kind]
+        connection.use(self._sources.current(self._now()))
         found, revision = await connection.list_objects(kind)
+        if connection.address == self._sources.store:
+            self._relay.keep_list(kind, found, revision)
+            self._relay.heard_store()
         if self._failures_by_kind.pop(kind, 0):
             self._listener.on_store_regained(kind)
         on_list(found)
@@ -172,15 +211,37 @@
         on_change: Callable[[StoreObject, bool], None],
     ) -> None:
         while True:
-            batch: ChangeBatch = await connection.watch(kind, revision, wait)
+            batch: ChangeBatch = await connection.watch(
+                kind, revision, self._wait_time(kind, wait)
+            )
+            if connection.address == self._sources.store:
+                self._relay.keep_changes(kind, batch)
+                self._relay.heard_store()
             for change in batch.events:
                 on_change(change.object, change.deleted)
             revision = batch.store_revision
             is_wave = kind == _UPSTREAMS and batch.events
             await sleep(_UPSTREAM_GATHER_TIME if is_wave else _GATHER_TIME)
+            connection.use(self._sources.current(self._now()))
+
+    def _wait_time(self, kind: str, wait: Seconds) -> Seconds:
+        is_direct = self._connection_by_kind[kind].address == (
+            self._sources.store
+        )
+        if not is_direct:
+            return _FOLLOWER_WAIT
+        if kind == _UPSTREAMS and self._is_relaying:
+            return _RELAYED_WAIT
+        return wait
 
     def _note_loss(self, kind: str, failed: PlatformError) -> Seconds:
         """Tell of the loss once; return the pause before the next try."""
+        asked = self._connection_by_kind[kind].address
+        if asked != self._sources.store:
+            log_event(_log, 'relay-lost', relay=asked, problem=str(failed))
+            self._sources.note_failure(asked, self._now())
+            return _SWITCH_PAUSE
+        self._relay.lost_store()
         failures = self._failures_by_kind.get(kind, 0)
         self._failures_by_kind[kind] = failures + 1
         doublings = min(failures, _MAX_DOUBLINGS)
--- a/src/sesametrack/platform/registration.py
+++ b/src/sesametrack/platform/registration.py
@@ -18,9 +18,9 @@
 from sesametrack.platform.store import StoreConnection, StoreObject
 from sesametrack.telemetry.journal import log_event
 from sesametrack.vms.fleet_count import FleetCount
+from sesametrack.vms.watchers import FleetVm
 
 _KIND = 'sesametrack-vms'
-_INTERVAL: Seconds = 10
 _RETRY_PAUSE: Seconds = 1
 # When the whole system starts for the first time, VMs see each other's
 # entries only after a while; later there are entries of earlier processes.
@@ -32,6 +32,8 @@
     failure_domain: str
     # Where the VM takes datagrams of other VMs.
     peer_address: str
+    # Where it answers for the store.
+    relay_address: str
     heartbeat: int
 
 
@@ -44,7 +46,8 @@
         vm: VmId,
         domain: FailureDomainId,
         peer_address: Address,
-        on_fleet: Callable[[int, list[Address]], None],
+        relay_address: Address,
+        on_fleet: Callable[[list[FleetVm], list[Address]], None],
         now: Callable[[], Instant],
         rng: Random,
         *,
@@ -56,6 +59,8 @@
         self._vm = vm
         self._domain = domain
         self._peer_address = peer_address
+        self._relay_address = relay_address
+        self._is_created = False
         self._on_fleet = on_fleet
         self._now = now
         self._rng = rng
@@ -78,11 +83,15 @@
         await self._register()
         if self._is_first_start:
             await sleep(_FIRST_PAUSE)
+        is_later = False
         while True:
-            pause = _INTERVAL
+            pause = self._fleet.interval
             try:
                 await self._count()
-                await self._renew()
+                if is_later:
+                    await self._renew()
+                is_later = True
+                pause = self._fleet.interval
             except PlatformError as failed:
                 pause = _RETRY_PAUSE
                 log_event(_log, 'registration-failed', problem=str(failed))
@@ -96,11 +105,21 @@
 
     async def _renew(self) -> None:
         self._heartbeat += 1
-        entry = _Entry(self._domain, self._peer_address, self._heartbeat)
-        try:
-            await self._connection.create(_KIND, self._vm, entry)
-        except ConflictError:
+        entry = _Entry(
+            self._domain,
+            self._peer_address,
+            self._relay_address,
+            self._heartbeat,
+        )
+        is_created, self._is_created = self._is_created, False
+        if is_created:
             await self._connection.replace(_KIND, self._vm, entry)
+        else:
+            try:
+                await self._connection.create(_KIND, self._vm, entry)
+            except ConflictError:
+                await self._connection.replace(_KIND, self._vm, entry)
+        self._is_created = True
 
     async def _count(self) -> None:
         found, _ = await self._connection.list_objects(
@@ -116,12 +135,17 @@
         for vm in gone:
             log_event(_log, 'vm-entry-removed', vm=vm)
             await self._connection.delete(_KIND, vm)
-        peers = [
-            entry_by_vm[vm].peer_address
-            for vm in sorted(self._fleet.live & entry_by_vm.keys())
-            if vm != self._vm
+        live = sorted(self._fleet.live & entry_by_vm.keys())
+        peers = [entry_by_vm[vm].peer_address for vm in live if vm != self._vm]
+        fleet = [
+            FleetVm(
+                vm,
+                entry_by_vm[vm].failure_domain,
+                entry_by_vm[vm].relay_address,
+            )
+            for vm in live
         ]
-        self._on_fleet(self._fleet.count, peers)
+        self._on_fleet(fleet, peers)
 
 
 def _read_entry(found: StoreObject) -> _Entry | None:
--- a/src/sesametrack/platform/store.py
+++ b/src/sesametrack/platform/store.py
@@ -23,6 +23,8 @@
 # about 60 an answer still takes a quarter of a second.
 _CONNECT_TIMEOUT: Seconds = 0.5
 _CALL_TIMEOUT: Seconds = 2
+# What a watch takes beyond its own time: as long as an answer of a slow store.
+_WATCH_MARGIN: Seconds = 0.7
 _MS = 1000
 _OK = 200
 _CREATED = 201
@@ -86,6 +88,17 @@
         self._http: HttpConnection | None = None
         self.calls = 0
 
+    @property
+    def address(self) -> Address:
+        """Return whom the connection asks."""
+        return self._address
+
+    def use(self, address: Address) -> None:
+        """Ask somebody else from now on."""
+        if address != self._address:
+            self.close()
+            self._address = address
+
     def close(self) -> None:
         """Close the connection."""
         if self._http is not None:
@@ -107,7 +120,7 @@
     async def watch(self, kind: str, after: int, wait: Seconds) -> ChangeBatch:
         """Wait for changes after a revision; may return none."""
         query = {'watch': after, 'wait_ms': int(wait * _MS)}
-        reply = await self._read(kind, query, wait + _CALL_TIMEOUT)
+        reply = await self._read(kind, query, wait + _WATCH_MARGIN)
         return self._decode(_batch_decoder, reply)
 
     async def create(self, kind: str, name: str, spec: Any) -> None:
--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -37,8 +37,9 @@
 from sesametrack.links.caller_server import CallerServer
 from sesametrack.links.http import HttpRequest, HttpResponse
 from sesametrack.links.http_server import HttpServer
-from sesametrack.platform.follower import Follower
+from sesametrack.platform.follower import RELAY_MAX_AGE, Follower
 from sesametrack.platform.registration import Registration
+from sesametrack.platform.relay import Relay
 from sesametrack.programs.forwarder import Forwarder
 from sesametrack.programs.hinting import HintExchange
 from sesametrack.routing.budget import BudgetRule, RetryBudget
@@ -50,6 +51,7 @@
     start_journal,
 )
 from sesametrack.telemetry.metrics import Metrics
+from sesametrack.vms.watchers import FleetVm, Sources, choose_watchers
 
 _EXIT_REFUSED = 2
 _OK = 200
@@ -124,7 +126,12 @@
         self._admin = HttpServer(
             settings.address, settings.metrics_port, self._answer_metrics
         )
-        self._follower = Follower(settings.platform, self, rng)
+        self._sources = Sources(settings.platform, settings.vm)
+        relay_address = f'{settings.address}:{settings.peer_ports[0] + 1}'
+        self._relay = Relay(relay_address, steady_time, RELAY_MAX_AGE)
+        self._follower = Follower(
+            self._sources, self._relay, self, steady_time, rng
+        )
         peer_address = f'{settings.address}:{settings.peer_ports[0]}'
         self._hints = HintExchange(
             settings.vm,
@@ -141,6 +148,7 @@
             settings.vm,
             settings.failure_domain,
             peer_address,
+            relay_address,
             self._on_fleet,
             steady_time,
             rng,
@@ -162,7 +170,8 @@
         await self._callers.start()
         self._forwarder.start()
         self._check_reach()
-        await self._follower.start()
+        await self._relay.start()
+        await self._follower.start(is_first_start=self._settings.is_first_start)
         await self._hints.start()
         await self._registration.start()
         for number in (SIGTERM, SIGINT):
@@ -204,7 +213,7 @@
         await self._follower.close()
         await self._callers.close()
         self._forwarder.close()
-        for server in (self._readiness, self._admin):
+        for server in (self._readiness, self._admin, self._relay):
             with suppress(TimeoutError):
                 await wait_for(server.close(), _CLOSE_TIME / 3)
 
@@ -291,8 +300,15 @@
     def _is_after_outage(self) -> bool:
         return steady_time() < self._regained_at + _LAPSE_WINDOW
 
-    def _on_fleet(self, vm_count: int, peers: list[Address]) -> None:
+    def _on_fleet(self, fleet: list[FleetVm], peers: list[Address]) -> None:
+        is_listed = any(one.vm == self._settings.vm for one in fleet)
+        vm_count = len(fleet) if is_listed else len(fleet) + 1
         self._hints.peers = peers
+        domain = self._settings.failure_domain
+        watchers = choose_watchers(fleet, domain)
+        size = sum(1 for one in fleet if one.failure_domain == domain)
+        self._sources.assign(watchers, size)
+        self._follower.assign(is_relaying=size > len(watchers))
         if not self._is_warm:
             self._is_warm = True
             self._forwarder.divide(vm_count)
--- a/src/sesametrack/vms/fleet_count.py
+++ b/src/sesametrack/vms/fleet_count.py
@@ -2,11 +2,15 @@
 
 from sesametrack.contracts.types import Instant, Seconds, VmId
 
-# Three heartbeats of ten seconds and a little: a VM that is cut off from
-# the store may go on serving for longer, which the reserves of the shares
-# cover.
-_SILENT: Seconds = 40
-_REMOVED: Seconds = 120
+# Heartbeats of a small fleet; in a large one they are rarer, so that the
+# fleet's writes to the store grow slowly.
+_INTERVAL: Seconds = 10
+_INTERVAL_A_VM: Seconds = 0.6
+# A VM whose heartbeat stands still for so many intervals does not count. One
+# that is cut off from the store may go on serving for longer, which the
+# reserves of the shares cover.
+_SILENT_INTERVALS = 4
+_REMOVED_INTERVALS = 12
 
 
 class FleetCount:
@@ -28,6 +32,11 @@
         """Number of VMs that share the limits, this one included."""
         return len(self.live)
 
+    @property
+    def interval(self) -> Seconds:
+        """Return the time between two heartbeats of a VM."""
+        return max(_INTERVAL, _INTERVAL_A_VM * len(self._seen_by_vm))
+
     def observe(
         self, heartbeat_by_vm: dict[VmId, int], now: Instant
     ) -> list[VmId]:
@@ -42,10 +51,11 @@
         self.live = {self._vm} | {
             vm
             for vm, (_, changed_at) in seen.items()
-            if now - changed_at < _SILENT
+            if now - changed_at < self.interval * _SILENT_INTERVALS
         }
         return [
             vm
             for vm, (_, changed_at) in seen.items()
-            if vm != self._vm and now - changed_at >= _REMOVED
+            if vm != self._vm
+            and now - changed_at >= self.interval * _REMOVED_INTERVALS
         ]
