Count only listed upstreams as out of reach

Cause: routes that stay declared after their shards have left made VMs believe that they were cut off as soon as a caller used one, and other VMs, which had not used it, seemed to serve it.

--- a/src/sesametrack/programs/forwarder.py
+++ b/src/sesametrack/programs/forwarder.py
@@ -52,7 +52,7 @@
     Exchange,
     GatherExchange,
     SingleExchange,
-    is_servable,
+    is_out_of_reach,
 )
 from sesametrack.routing.pacing import ColdPacer
 from sesametrack.routing.routes import RouteTable
@@ -170,7 +170,7 @@
         self._running_by_connection: dict[CallerConnection, _Running] = {}
         self._in_flight_by_attempt: dict[int, _InFlight] = {}
         self._link_by_id: dict[UpstreamId, _Link] = {}
-        self._used_at_by_route: dict[str, tuple[Route, Instant]] = {}
+        self._used_at_by_route: dict[str, Instant] = {}
         self._timers: list[TimerHandle | None] = [None, None]
 
     def start(self) -> None:
@@ -201,19 +201,30 @@
         """Number of connections opened to listed upstreams."""
         return sum(link.pool.opened for link in self._link_by_id.values())
 
-    def unservable_routes(self) -> list[str]:
-        """Return the routes in use that reach too few upstreams now."""
+    def out_of_reach(self) -> list[str]:
+        """Return all routes whose listed upstreams are out of reach."""
+        if self.routes.state is None:
+            return []
+        # Many routes share their services.
+        is_out_by_key: dict[tuple[object, ...], bool] = {}
+        found = []
+        for route in self.routes.state.routes:
+            key = (route.services, route.merge)
+            if key not in is_out_by_key:
+                is_out_by_key[key] = is_out_of_reach(route, self.directory)
+            if is_out_by_key[key]:
+                found.append(route.name)
+        return found
+
+    def routes_in_use(self) -> set[str]:
+        """Return the routes that had requests lately."""
         earliest = self._now() - _ROUTE_IN_USE
         self._used_at_by_route = {
-            name: (route, used_at)
-            for name, (route, used_at) in self._used_at_by_route.items()
+            name: used_at
+            for name, used_at in self._used_at_by_route.items()
             if used_at >= earliest
         }
-        return [
-            name
-            for name, (route, _) in self._used_at_by_route.items()
-            if not is_servable(route, self.directory)
-        ]
+        return set(self._used_at_by_route)
 
     def divide(self, vm_count: int) -> None:
         """Take this VM's share of every limit of the whole fleet."""
@@ -433,7 +444,7 @@
             request, route, exchange, connection, self.routes.version
         )
         self._running_by_connection[connection] = running
-        self._used_at_by_route[route.name] = (route, request.arrived_at)
+        self._used_at_by_route[route.name] = request.arrived_at
         self._metrics.count('requests.started')
         now = self._now()
         self._perform(running, exchange.start(now), now)
--- a/src/sesametrack/programs/hinting.py
+++ b/src/sesametrack/programs/hinting.py
@@ -30,6 +30,8 @@
 _HEARTBEAT_INTERVAL: Seconds = 1
 # Each message goes to so many VMs at most, chosen anew each time.
 _MAX_PEERS = 8
+# A datagram names so many routes.
+_MAX_ROUTES = 24
 
 _log = getLogger('hints')
 
@@ -86,7 +88,12 @@
             if len(chosen) > _MAX_PEERS:
                 chosen = self._rng.sample(chosen, _MAX_PEERS)
             message = HintMessage(
-                self._vm, self._domain, hints, self.is_ready, self.unservable
+                self._vm,
+                self._domain,
+                hints,
+                # One that has no room to name its routes claims none.
+                self.is_ready and len(self.unservable) <= _MAX_ROUTES,
+                self.unservable[:_MAX_ROUTES],
             )
             for peer in chosen:
                 self._link.send(peer, message)
--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -340,7 +340,9 @@
         that are lost to all VMs are no reason to send callers elsewhere.
         """
         now = steady_time()
-        self._unservable = self._forwarder.unservable_routes()
+        out_of_reach = self._forwarder.out_of_reach()
+        in_use = self._forwarder.routes_in_use()
+        self._unservable = [name for name in out_of_reach if name in in_use]
         serving = self._hints.reach.vms_serving(self._unservable, now)
         is_cut_off = bool(self._unservable and (self._lost_kinds or serving))
         if is_cut_off is not self._forwarder.is_cut_off:
@@ -352,7 +354,7 @@
                 lost=sorted(self._lost_kinds),
                 served_by=serving,
             )
-        self._hints.unservable = self._unservable
+        self._hints.unservable = out_of_reach
         self._hints.is_ready = self._is_ready
         if self._unservable and now > self._verified_at + _VERIFY_INTERVAL:
             self._verified_at = now
--- a/src/sesametrack/routing/exchanges.py
+++ b/src/sesametrack/routing/exchanges.py
@@ -86,12 +86,23 @@
             for upstream in directory.usable(service)
         )
     )
-    if route.merge is None:
-        return reachable > 0
     return _is_enough(route, reachable)
 
 
+def is_out_of_reach(route: Route, directory: UpstreamDirectory) -> bool:
+    """Tell whether a route's upstreams are listed, but not reachable.
+
+    A route whose upstreams are not listed cannot be served by any VM.
+    """
+    if is_servable(route, directory):
+        return False
+    listed = sum(1 for service in route.services if directory.usable(service))
+    return _is_enough(route, listed)
+
+
 def _is_enough(route: Route, shards: int) -> bool:
+    if route.merge is None:
+        return shards > 0
     least = route.merge.least_share * len(route.shards)
     return shards > 0 and shards >= least - _ROUNDING
 
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -17,7 +17,11 @@
     ReplyKind,
     Send,
 )
-from sesametrack.routing.exchanges import GatherExchange, SingleExchange
+from sesametrack.routing.exchanges import (
+    GatherExchange,
+    SingleExchange,
+    is_out_of_reach,
+)
 from tests.router_builders import (
     WIDE_RULE,
     make_context,
@@ -267,6 +271,20 @@
         self.assertEqual(('s2', 'hedge'), (hedge.service, hedge.reason))
         self.assertNotEqual(first.upstream.id, hedge.upstream.id)
 
+    def test_out_of_reach(self) -> None:
+        """Upstreams that nobody lists are not out of this VM's reach.
+
+        Pattern: routes that are kept for shards which have left made VMs
+        believe that they were cut off, one after the other.
+        """
+        route = make_gather_route(4)
+        directory = make_directory(list(route.shards), 1)
+        self.assertFalse(is_out_of_reach(route, directory))
+        for upstream in directory.by_id.values():
+            upstream.health.record_unreachable(0)
+        self.assertTrue(is_out_of_reach(route, directory))
+        self.assertFalse(is_out_of_reach(route, make_directory([], 0)))
+
     def test_replies_that_flow_are_not_hedged(self) -> None:
         """A VM that is still reading replies does not hedge the rest.
 
