Relay only the kinds that this VM's own watch follows

Change: each kind is answered only while its own watch works, and the path to the store counts by the upstreams' watch alone. The test fails before.

--- a/src/sesametrack/platform/follower.py
+++ b/src/sesametrack/platform/follower.py
@@ -179,6 +179,7 @@
             try:
                 await self._list_and_watch(kind, wait, on_list, on_change)
             except HistoryGoneError:
+                self._relay.lose(kind)
                 log_event(_log, 'history-gone', kind=kind)
             except PlatformError as failed:
                 pause = self._note_loss(kind, failed)
@@ -196,7 +197,7 @@
         found, revision = await connection.list_objects(kind)
         if connection.address == self._sources.store:
             self._relay.keep_list(kind, found, revision)
-            self._relay.heard_store()
+            self._note_heard(kind)
         if self._failures_by_kind.pop(kind, 0):
             self._listener.on_store_regained(kind)
         on_list(found)
@@ -216,7 +217,7 @@
             )
             if connection.address == self._sources.store:
                 self._relay.keep_changes(kind, batch)
-                self._relay.heard_store()
+                self._note_heard(kind)
             for change in batch.events:
                 on_change(change.object, change.deleted)
             revision = batch.store_revision
@@ -234,6 +235,10 @@
             return _RELAYED_WAIT
         return wait
 
+    def _note_heard(self, kind: str) -> None:
+        if kind == _UPSTREAMS:
+            self._relay.heard_store()
+
     def _note_loss(self, kind: str, failed: PlatformError) -> Seconds:
         """Tell of the loss once; return the pause before the next try."""
         asked = self._connection_by_kind[kind].address
@@ -241,7 +246,7 @@
             log_event(_log, 'relay-lost', relay=asked, problem=str(failed))
             self._sources.note_failure(asked, self._now())
             return _SWITCH_PAUSE
-        self._relay.lost_store()
+        self._relay.lose(kind)
         failures = self._failures_by_kind.get(kind, 0)
         self._failures_by_kind[kind] = failures + 1
         doublings = min(failures, _MAX_DOUBLINGS)
--- a/src/sesametrack/platform/relay.py
+++ b/src/sesametrack/platform/relay.py
@@ -33,6 +33,8 @@
     object_by_name: dict[str, StoreObject] = field(default_factory=dict)
     history: deque = field(default_factory=deque)
     changed: Event = field(default_factory=Event)
+    # Set while this VM's own watch of the kind fails.
+    is_lost: bool = False
 
 
 class Relay:
@@ -61,13 +63,18 @@
         await self._server.close()
 
     def heard_store(self) -> None:
-        """Note that the store itself has just answered."""
+        """Note that the store has answered the watch that returns often.
+
+        The other watches wait for long, so only this one shows that the
+        path to the store is there.
+        """
         self._heard_at = self._now()
 
-    def lost_store(self) -> None:
-        """Answer nothing more until the store is heard again."""
-        self._heard_at = float('-inf')
-        for kept in self._by_kind.values():
+    def lose(self, kind: str) -> None:
+        """Answer nothing of a kind until its own watch works again."""
+        kept = self._by_kind.get(kind)
+        if kept is not None:
+            kept.is_lost = True
             _wake(kept)
 
     def keep_list(
@@ -77,6 +84,7 @@
         kept = self._by_kind.setdefault(kind, _Kind())
         kept.object_by_name = {one.meta.name: one for one in objects}
         kept.history.clear()
+        kept.is_lost = False
         kept.revision = revision
         kept.oldest = revision
         _wake(kept)
@@ -111,7 +119,8 @@
                     await wait_for(
                         kept.changed.wait(), int(query['wait_ms']) / _MS
                     )
-        if self._now() - self._heard_at > self._max_age:
+        is_old = self._now() - self._heard_at > self._max_age
+        if is_old or kept.is_lost:
             return HttpResponse(_UNAVAILABLE)
         if 'watch' in query:
             return _changes(kept, int(query['watch']))
--- a/src/sesametrack/routing/exchanges.py
+++ b/src/sesametrack/routing/exchanges.py
@@ -36,6 +36,9 @@
 _FEW_PART = 0.2
 # Replies of a gather that this VM is still reading follow each other faster.
 _FLOW_TIME: Seconds = 0.005
+# Part of the time to the cut-off for which a gather without any reply waits
+# before it hedges many shards.
+_SILENT_PART = 0.6
 # When a refused caller may come back: a connection attempt to a lost
 # upstream is repeated about as often.
 _RETRY_AFTER: Seconds = 0.25
@@ -217,8 +220,11 @@
         self._call_by_attempt: dict[int, Call] = {}
         self._open = set(route.shards)
         self._answered = 0
-        # No reply can have come yet, and none is overdue.
         self._replied_at = request.arrived_at
+        self._silent_until = (
+            request.arrived_at
+            + (self._cutoff - request.arrived_at) * _SILENT_PART
+        )
 
     def start(self, now: Instant) -> list[Action]:
         """Send the request to one upstream of each shard."""
@@ -270,6 +276,10 @@
         of every shard and double the work.
         """
         is_many = due > max(_FEW_SHARDS, len(self._calls) * _FEW_PART)
+        if not self._answered:
+            # Nothing at all has come back yet: this VM may still be opening
+            # connections, or all of its paths are slow.
+            return is_many and now < self._silent_until
         return is_many and now - self._replied_at < _FLOW_TIME
 
     def missing_shards(self) -> dict[str, str]:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -6,6 +6,8 @@
 
 from testtools import TestCase
 
+from sesametrack.links.http import HttpRequest
+from sesametrack.links.http_client import HttpConnection
 from sesametrack.platform.follower import RELAY_MAX_AGE, Follower
 from sesametrack.platform.relay import Relay
 from sesametrack.vms.watchers import (
@@ -203,6 +205,50 @@
         self.assertFalse(any(vm.known.went_back for vm in vms))
 
 
+class RelayAgeTest(TestCase):
+    """A relay does not answer for what it does not follow itself."""
+
+    def test_kinds(self) -> None:
+        """Each kind counts by its own watch."""
+        run(self.check())
+
+    async def check(self) -> None:
+        """Let one watch fail while the others work.
+
+        Pattern: a store that refuses some calls of some VMs; relays whose
+        watch of the desired state failed went on answering with an old
+        version, since their watch of the upstreams worked.
+        """
+        self.now = 10.0
+        relay = Relay(f'{_HOST}:{_FIRST_RELAY_PORT}', lambda: self.now, 2)
+        await relay.start()
+        try:
+            for kind in ('config', 'servers'):
+                relay.keep_list(kind, [], 7)
+            relay.heard_store()
+            self.assertEqual([200, 200], await self.statuses())
+            relay.lose('config')
+            self.assertEqual([503, 200], await self.statuses())
+            relay.keep_list('config', [], 9)
+            self.assertEqual([200, 200], await self.statuses())
+            self.now = 12.5
+            self.assertEqual([503, 503], await self.statuses())
+        finally:
+            await relay.close()
+
+    async def statuses(self) -> list[int]:
+        """Return the statuses of lists of both kinds."""
+        found = []
+        for kind in ('config', 'servers'):
+            http = HttpConnection(f'{_HOST}:{_FIRST_RELAY_PORT}')
+            await http.start(1)
+            path = f'/sesametrack/objects/{kind}'
+            reply = await http.exchange(HttpRequest('GET', path, {}), 1)
+            http.abort()
+            found.append(reply.status)
+        return found
+
+
 class SourcesTest(TestCase):
     """Who watches and who follows whom."""
 
