List a new source before it is watched, and keep a follower going after an error

Cause: when all relays of a failure domain failed, the watches of the kinds that had not failed themselves moved to the store without a list, met an unknown kind in the relay's part and ended for good. Change: a change of source ends the watch and begins with a list; an unexpected error is logged and the follower begins anew. The test fails before (version 3 is not known everywhere).

--- a/src/sesametrack/platform/follower.py
+++ b/src/sesametrack/platform/follower.py
@@ -183,6 +183,11 @@
                 log_event(_log, 'history-gone', kind=kind)
             except PlatformError as failed:
                 pause = self._note_loss(kind, failed)
+            except Exception:
+                # A follower that ended would leave this VM with what it
+                # knows now for ever.
+                self._relay.lose(kind)
+                _log.exception('follower-failed')
             await sleep(pause * (0.5 + self._rng.random() / 2))
 
     async def _list_and_watch(
@@ -223,7 +228,10 @@
             revision = batch.store_revision
             is_wave = kind == _UPSTREAMS and batch.events
             await sleep(_UPSTREAM_GATHER_TIME if is_wave else _GATHER_TIME)
-            connection.use(self._sources.current(self._now()))
+            if connection.address != self._sources.current(self._now()):
+                # A new source is listed first: the store's lists are what
+                # this VM may have to relay.
+                return
 
     def _wait_time(self, kind: str, wait: Seconds) -> Seconds:
         is_direct = self._connection_by_kind[kind].address == (
--- a/src/sesametrack/platform/relay.py
+++ b/src/sesametrack/platform/relay.py
@@ -91,7 +91,7 @@
 
     def keep_changes(self, kind: str, batch: ChangeBatch) -> None:
         """Take over changes of a kind."""
-        kept = self._by_kind[kind]
+        kept = self._by_kind.setdefault(kind, _Kind())
         for change in batch.events:
             name = change.object.meta.name
             if change.deleted:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -127,6 +127,7 @@
                 await vm.start()
             await self.check_news(store, vms)
             await self.check_calls(store)
+            await self.check_refused_watchers(store, vms)
             await self.check_lost_watcher(store, vms)
             await self.check_store_outage(store, vms)
         finally:
@@ -188,8 +189,8 @@
         """Followers of a watcher that is gone follow another one."""
         lost = next(vm for vm in vms if vm.is_watcher)
         await lost.close()
-        await self.write(store, 3)
-        await self.wait([vm for vm in vms if vm is not lost], 3)
+        await self.write(store, 4)
+        await self.wait([vm for vm in vms if vm is not lost], 4)
 
     async def check_store_outage(
         self, store: ObjectStoreStandin, vms: list[Vm]
@@ -198,12 +199,29 @@
         store.refusal = 503
         await store.compact()
         await sleep(0.5)
-        await self.write(store, 4)
+        await self.write(store, 5)
         store.refusal = None
-        lost = [vm for vm in vms if vm.known.version < 3]
-        await self.wait([vm for vm in vms if vm not in lost], 4)
+        lost = [vm for vm in vms if vm.known.version < 4]
+        await self.wait([vm for vm in vms if vm not in lost], 5)
         self.assertFalse(any(vm.known.went_back for vm in vms))
 
+    async def check_refused_watchers(
+        self, store: ObjectStoreStandin, vms: list[Vm]
+    ) -> None:
+        """A follower goes on at the store when all relays have failed.
+
+        Pattern: the store refuses all watchers of a failure domain. One
+        kind's call finds it out; the watches of the other kinds moved to the
+        store without a list, and ended for good.
+        """
+        for vm in vms:
+            relays = [me.relay for me in make_fleet(_VMS)]
+            for relay in relays:
+                vm.sources.note_failure(relay, monotonic())
+        await sleep(1)
+        await self.write(store, 3)
+        await self.wait(vms, 3)
+
 
 class RelayAgeTest(TestCase):
     """A relay does not answer for what it does not follow itself."""
