Split the pools of connections and the running requests from the forwarder

Change: upstream_links.py owns the pools and their reachability, running.py the requests under way and the words for their ends. No behaviour changes.

--- a/src/sesametrack/programs/forwarder.py
+++ b/src/sesametrack/programs/forwarder.py
@@ -2,7 +2,6 @@
 
 from asyncio import AbstractEventLoop, TimerHandle
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from functools import partial
 from itertools import count
 from logging import getLogger
@@ -19,7 +18,6 @@
 from sesametrack.links.upstream_pool import (
     PendingSend,
     PoolOwner,
-    UpstreamPool,
 )
 from sesametrack.platform.headers import (
     build_send,
@@ -29,19 +27,23 @@
     write_bad_request,
     write_unrouted,
 )
+from sesametrack.programs.running import (
+    OVERDUE,
+    InFlight,
+    Running,
+    describe_answer,
+)
+from sesametrack.programs.upstream_links import UpstreamLinks
 from sesametrack.routing.budget import RetryBudget
 from sesametrack.routing.calls import CallContext
 from sesametrack.routing.desired import Route
-from sesametrack.routing.directory import Upstream, UpstreamDirectory
+from sesametrack.routing.directory import UpstreamDirectory
 from sesametrack.routing.events import (
     Action,
     Answer,
     CallerRequest,
     Deliver,
-    Failure,
     FailureKind,
-    ForwardReply,
-    MergedAnswer,
     Note,
     Refusal,
     ReplyKind,
@@ -58,7 +60,7 @@
 from sesametrack.routing.routes import RouteTable
 from sesametrack.routing.selection import Selector
 from sesametrack.routing.shares import UNKNOWN_FLEET, connection_share
-from sesametrack.routing.timing import RouteTiming, TimingTable
+from sesametrack.routing.timing import TimingTable
 from sesametrack.telemetry.journal import log_event
 from sesametrack.telemetry.metrics import Metrics
 
@@ -71,68 +73,17 @@
 _OVERDUE: Seconds = 0.25
 _SWEEP_INTERVAL: Seconds = 0.1
 _TRIM_INTERVAL: Seconds = 1
-# Why the connection of a send without a reply is closed.
-OVERDUE = 'overdue'
-_CALLER_LEFT = 'caller left'
 # A route counts as in use for so long after a request.
 _ROUTE_IN_USE: Seconds = 5
 # A timer that fires so late shows that the process lags behind its input.
 _LAG: Seconds = 0.002
 _DEFERRAL: Seconds = 0.0005
-# Connections are opened ahead of need a few at a time.
-_WARM_BATCH = 8
 _WARM_USUAL: Seconds = 0.01
-_WARM_PAUSE: Seconds = 0.02
-# Connection attempts to an unreachable upstream repeat with these pauses.
-_FIRST_PROBE_PAUSE: Seconds = 0.25
-_MAX_PROBE_PAUSE: Seconds = 2
 _NO_STATE_RETRY_AFTER: Seconds = 0.1
 
 _log = getLogger('forwarder')
 
 
-@dataclass(slots=True)
-class _Running:
-    """A request under way or answered, with sends that have not ended."""
-
-    request: CallerRequest
-    route: Route
-    exchange: Exchange
-    connection: CallerConnection | None
-    version: int
-    timer: TimerHandle | None = None
-    timer_at: Instant = float('inf')
-    is_deferred: bool = False
-    sends: int = 0
-    hedges: int = 0
-    retries: int = 0
-
-
-@dataclass(slots=True)
-class _InFlight:
-    """One send."""
-
-    running: _Running
-    upstream: Upstream
-    pool: UpstreamPool
-    timing: RouteTiming
-    service: ServiceId
-    sent_at: Instant
-    abort_at: Instant
-    reason: str
-    is_caller_gone: bool = False
-
-
-@dataclass(slots=True)
-class _Link:
-    """The pool of an upstream and its connection attempts."""
-
-    upstream: Upstream
-    pool: UpstreamPool
-    failures: int = 0
-    is_probed: bool = field(default=False)
-
-
 class Forwarder(PoolOwner):
     """Owns all requests, sends and pools of this router."""
 
@@ -167,9 +118,11 @@
             partial(next, count(1)),
             self._max_connections,
         )
-        self._running_by_connection: dict[CallerConnection, _Running] = {}
-        self._in_flight_by_attempt: dict[int, _InFlight] = {}
-        self._link_by_id: dict[UpstreamId, _Link] = {}
+        self._running_by_connection: dict[CallerConnection, Running] = {}
+        self._in_flight_by_attempt: dict[int, InFlight] = {}
+        self._links = UpstreamLinks(
+            self, self._max_connections, metrics, loop, now
+        )
         self._used_at_by_route: dict[str, Instant] = {}
         self._timers: list[TimerHandle | None] = [None, None]
 
@@ -183,8 +136,7 @@
         for timer in self._timers:
             if timer is not None:
                 timer.cancel()
-        for link in self._link_by_id.values():
-            link.pool.close()
+        self._links.close()
 
     @property
     def is_leaving(self) -> bool:
@@ -199,7 +151,7 @@
     @property
     def opened(self) -> int:
         """Number of connections opened to listed upstreams."""
-        return sum(link.pool.opened for link in self._link_by_id.values())
+        return self._links.opened
 
     def out_of_reach(self) -> list[str]:
         """Return all routes whose listed upstreams are out of reach."""
@@ -231,9 +183,7 @@
         self.vm_count = vm_count
         self.budget.divide(vm_count)
         self._pacer.divide(vm_count)
-        for link in self._link_by_id.values():
-            service = link.upstream.record.service
-            link.pool.limit = self._max_connections(service)
+        self._links.apply_limits()
 
     def apply_state(self) -> None:
         """Take over the limits of a new desired state."""
@@ -261,24 +211,13 @@
             )
             for service in sorted(services)
         ]
-        self._open_ahead([one for one in chosen if one is not None])
-
-    def _open_ahead(self, upstreams: list[Upstream]) -> None:
-        for upstream in upstreams[:_WARM_BATCH]:
-            link = self._link(upstream)
-            if not link.pool.size and not upstream.is_replaced:
-                link.pool.open()
-        rest = upstreams[_WARM_BATCH:]
-        if rest:
-            self._loop.call_later(_WARM_PAUSE, self._open_ahead, rest)
+        self._links.open_ahead([one for one in chosen if one is not None])
 
     def forget(self, upstream_ids: list[UpstreamId]) -> None:
         """Let go of upstreams that are no longer listed."""
         for upstream_id in upstream_ids:
             self._pacer.forget(upstream_id)
-            link = self._link_by_id.pop(upstream_id, None)
-            if link is not None:
-                link.pool.retire()
+        self._links.forget(upstream_ids)
 
     # Callers.
 
@@ -364,68 +303,13 @@
         self._record_failure(in_flight, attempt_id, f'{kind.value}: {why}', now)
         if why == OVERDUE:
             in_flight.upstream.health.record_unreachable(now)
-            self._probe(in_flight.upstream.id)
+            self._links.probe(in_flight.upstream.id)
         running = in_flight.running
         if not running.exchange.is_done:
             self._perform(
                 running, running.exchange.on_failure(attempt_id, kind, now), now
             )
 
-    def on_connected(self, pool: UpstreamPool, elapsed: Seconds) -> None:
-        """Take the opening of a connection."""
-        self._metrics.count('connections.opened')
-        self._metrics.time('connections.open-time', elapsed * _MS)
-        link = self._link_by_id.get(pool.upstream_id)
-        if link is None:
-            return
-        link.failures = 0
-        if not link.upstream.health.is_unreachable:
-            return
-        log_event(_log, 'upstream-reachable', upstream=pool.upstream_id)
-        link.upstream.health.record_reachable()
-        # Others of its failure domain may be back too.
-        domain = link.upstream.record.failure_domain
-        for other in list(self._link_by_id.values()):
-            if other.upstream.record.failure_domain == domain:
-                self._try_again(other)
-
-    def on_unreachable(self, pool: UpstreamPool, why: str) -> None:
-        """Take the failure to open a connection."""
-        self._metrics.count('connections.failed')
-        link = self._link_by_id.get(pool.upstream_id)
-        if link is None:
-            return
-        now = self._now()
-        health = link.upstream.health
-        if not health.is_unreachable:
-            log_event(
-                _log,
-                'upstream-unreachable',
-                upstream=pool.upstream_id,
-                service=link.upstream.record.service,
-                why=why,
-            )
-        health.record_unreachable(now)
-        link.failures += 1
-        if link.is_probed:
-            return
-        link.is_probed = True
-        pause = _FIRST_PROBE_PAUSE * 2 ** min(link.failures - 1, 5)
-        self._loop.call_later(
-            min(_MAX_PROBE_PAUSE, pause), self._probe, pool.upstream_id
-        )
-
-    def _probe(self, upstream_id: UpstreamId) -> None:
-        link = self._link_by_id.get(upstream_id)
-        if link is None:
-            return
-        link.is_probed = False
-        self._try_again(link)
-
-    def _try_again(self, link: _Link) -> None:
-        if link.upstream.health.is_unreachable and not link.pool.is_opening:
-            link.pool.open()
-
     # Exchanges.
 
     def _begin(
@@ -440,7 +324,7 @@
         else:
             service = self.routes.choose_branch(route)
             exchange = SingleExchange(request, route, service, self._context)
-        running = _Running(
+        running = Running(
             request, route, exchange, connection, self.routes.version
         )
         self._running_by_connection[connection] = running
@@ -450,7 +334,7 @@
         self._perform(running, exchange.start(now), now)
 
     def _perform(
-        self, running: _Running, actions: list[Action], now: Instant
+        self, running: Running, actions: list[Action], now: Instant
     ) -> None:
         for action in actions:
             if isinstance(action, Send):
@@ -469,14 +353,10 @@
         if not exchange.is_done and exchange.wake_at < running.timer_at:
             self._schedule(running, now)
 
-    def _send(self, running: _Running, send: Send, now: Instant) -> None:
-        link = self._link(send.upstream)
+    def _send(self, running: Running, send: Send, now: Instant) -> None:
+        pool = self._links.pool(send.upstream)
         request = running.request
-        running.sends += 1
-        if send.reason == 'hedge':
-            running.hedges += 1
-        elif send.reason == 'retry':
-            running.retries += 1
+        running.count_send(send.reason)
         if send.reason != 'first':
             log_event(
                 _log,
@@ -488,17 +368,17 @@
                 slowness=round(send.upstream.health.slowness, 2),
             )
         self._metrics.count(f'sends.{send.reason}')
-        self._in_flight_by_attempt[send.attempt_id] = _InFlight(
+        self._in_flight_by_attempt[send.attempt_id] = InFlight(
             running,
             send.upstream,
-            link.pool,
+            pool,
             self._timings.of(running.route),
             send.service,
             now,
             send.deadline + _OVERDUE,
             send.reason,
         )
-        link.pool.send(
+        pool.send(
             PendingSend(
                 send.attempt_id,
                 partial(
@@ -513,11 +393,11 @@
             )
         )
 
-    def _deliver(self, running: _Running, answer: Answer, now: Instant) -> None:
+    def _deliver(self, running: Running, answer: Answer, now: Instant) -> None:
         connection = running.connection
         running.connection = None
         self._stop(running)
-        outcome, details = _describe(answer)
+        outcome, details = describe_answer(answer)
         self._metrics.count(f'answers.{outcome}')
         elapsed_ms = (now - running.request.arrived_at) * _MS
         self._metrics.time(f'answers.{outcome}-time', elapsed_ms)
@@ -532,7 +412,7 @@
                 is_last=self.is_leaving,
             )
 
-    def _stop(self, running: _Running) -> None:
+    def _stop(self, running: Running) -> None:
         """Let nothing new begin for a request that is over."""
         running.exchange.is_done = True
         if running.timer is not None:
@@ -544,7 +424,7 @@
                 in_flight.upstream.health.end(attempt_id)
                 self._in_flight_by_attempt.pop(attempt_id)
 
-    def _schedule(self, running: _Running, now: Instant) -> None:
+    def _schedule(self, running: Running, now: Instant) -> None:
         if running.timer is not None:
             running.timer.cancel()
         running.timer_at = running.exchange.wake_at
@@ -552,7 +432,7 @@
             max(0, running.timer_at - now), self._wake, running
         )
 
-    def _wake(self, running: _Running) -> None:
+    def _wake(self, running: Running) -> None:
         running.timer = None
         planned_at, running.timer_at = running.timer_at, float('inf')
         if running.exchange.is_done:
@@ -596,25 +476,6 @@
         )
         connection.respond(write_unrouted(request.id), is_last=self.is_leaving)
 
-    # Pools.
-
-    def _link(self, upstream: Upstream) -> _Link:
-        link = self._link_by_id.get(upstream.id)
-        if link is None or link.upstream is not upstream:
-            if link is not None:
-                link.pool.retire()
-            pool = UpstreamPool(
-                upstream.id,
-                upstream.record.address,
-                self._max_connections(upstream.record.service),
-                self,
-                self._loop,
-                self._now,
-            )
-            link = _Link(upstream, pool)
-            self._link_by_id[upstream.id] = link
-        return link
-
     def _max_connections(self, service: ServiceId) -> int:
         spec = None
         if self.routes.state is not None:
@@ -624,7 +485,7 @@
         return connection_share(spec.max_connections, self.vm_count)
 
     def _record_failure(
-        self, in_flight: _InFlight, attempt_id: int, why: str, now: Instant
+        self, in_flight: InFlight, attempt_id: int, why: str, now: Instant
     ) -> None:
         upstream = in_flight.upstream
         is_ejected = upstream.health.record_failure(attempt_id, now)
@@ -662,19 +523,18 @@
             in_flight = self._in_flight_by_attempt[attempt_id]
             # Each attempt is aborted once; its end comes as a failure.
             in_flight.abort_at = float('inf')
-            in_flight.pool.abort(attempt_id, _why_aborted(in_flight))
+            in_flight.pool.abort(attempt_id, in_flight.why_aborted)
         self.forget(self.directory.expire(now))
         self._timers[0] = self._loop.call_later(_SWEEP_INTERVAL, self._sweep)
 
     def _trim(self) -> None:
-        for link in self._link_by_id.values():
-            link.pool.trim()
+        self._links.trim()
         self._metrics.gauge('requests.busy', self.busy)
         self._timers[1] = self._loop.call_later(_TRIM_INTERVAL, self._trim)
 
     def _log_end(
         self,
-        running: _Running,
+        running: Running,
         outcome: str,
         details: dict[str, object],
         now: Instant,
@@ -692,27 +552,3 @@
             retries=running.retries,
             **details,
         )
-
-
-def _why_aborted(in_flight: _InFlight) -> str:
-    """Tell silence from the leaving of a caller."""
-    return _CALLER_LEFT if in_flight.is_caller_gone else OVERDUE
-
-
-def _describe(answer: Answer) -> tuple[str, dict[str, object]]:
-    """Return the outcome's name for logs and metrics, and its details."""
-    if isinstance(answer, MergedAnswer):
-        return ('partial' if answer.missing else 'whole'), {}
-    if isinstance(answer, ForwardReply):
-        if answer.reply.kind is ReplyKind.succeeded:
-            return 'whole', {}
-        return 'upstream-failed', {'status': answer.reply.status}
-    if isinstance(answer, Refusal):
-        return 'refused', {
-            'reason': answer.reason,
-            'retry_after': answer.retry_after,
-        }
-    if isinstance(answer, Failure):
-        outcome = 'late' if answer.is_late else 'failed'
-        return outcome, {'reason': answer.reason}
-    raise TypeError(answer)
