--- /dev/null
+++ b/src/sesametrack/contracts/subgathers.py
@@ -0,0 +1,39 @@
+"""Messages between a VM and the aggregators of its wide gathers."""
+
+from msgspec import Struct
+
+from sesametrack.contracts.types import Seconds, ServiceId
+
+
+class SubgatherRequest(Struct, frozen=True, array_like=True):
+    """A caller's request, to be sent to some shards of its route.
+
+    `left`, `until_cutoff` and `age` are seconds from the sending of the
+    message: until the caller's deadline, until the reply should be on its
+    way, and since the caller's request came. `may_have_run` tells that
+    another aggregator may have sent the request to these shards.
+    """
+
+    id: str
+    method: str
+    path: str
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    route: str
+    target: Seconds
+    max_attempts: int
+    count: int
+    shards: list[ServiceId]
+    left: Seconds
+    until_cutoff: Seconds
+    age: Seconds
+    may_have_run: bool
+
+
+class SubgatherReply(Struct, frozen=True, array_like=True):
+    """The greatest records of the shards whose digests are listed."""
+
+    digest_by_shard: dict[ServiceId, bytes]
+    records: bytes
+    # Why the other shards are missing.
+    missing: dict[ServiceId, str]
--- a/src/sesametrack/links/caller_server.py
+++ b/src/sesametrack/links/caller_server.py
@@ -38,6 +38,8 @@
 # After an error that leaves bytes unread, so long is read and dropped, so
 # that the answer is not lost to a reset.
 _LINGER: Seconds = 1
+# An interim answer (RFC 2518, section 10.1).
+_PROCESSING = 102
 _STATUS_BAD = 400
 _STATUS_SLOW = 408
 _STATUS_LARGE = 413
@@ -107,6 +109,16 @@
         """Treat the end of a caller's bytes as its leaving."""
         return False
 
+    def acknowledge(self) -> None:
+        """Tell that the request was read and is being worked on."""
+        if not self.is_busy:
+            return
+        self._transport.write(
+            self._http.send(
+                InformationalResponse(status_code=_PROCESSING, headers=[])
+            )
+        )
+
     def respond(self, response: OutgoingResponse, *, is_last: bool) -> None:
         """Answer the request that was passed on."""
         if not self.is_busy:
--- a/src/sesametrack/links/reply_parser.py
+++ b/src/sesametrack/links/reply_parser.py
@@ -40,6 +40,7 @@
         self._is_in_body = False
         self._is_framed = False
         self._whole: list[WholeReply] = []
+        self._interims = 0
 
     @property
     def is_inside(self) -> bool:
@@ -56,6 +57,11 @@
         """Return the replies that were whole before `feed` failed."""
         return self._whole
 
+    def take_interims(self) -> int:
+        """Return how many interim responses came since the last call."""
+        interims, self._interims = self._interims, 0
+        return interims
+
     def finish(self) -> WholeReply | None:
         """Return the reply that ends with its connection, if there is one."""
         if not self._is_in_body or self._is_framed:
@@ -108,6 +114,7 @@
         if status < _FIRST_FINAL_STATUS:
             # An interim response; the final one follows.
             self._is_inside = True
+            self._interims += 1
             return
         self._whole.append(
             WholeReply(status, self._headers, b''.join(self._body), is_reusable)
--- /dev/null
+++ b/src/sesametrack/links/subgathers.py
@@ -0,0 +1,143 @@
+"""Sub-gathers on the wire between VMs: HTTP with MessagePack bodies."""
+
+from collections.abc import Callable
+
+from msgspec import DecodeError, ValidationError
+from msgspec.msgpack import Decoder, Encoder
+
+from sesametrack.contracts.exceptions import ProtocolError
+from sesametrack.contracts.subgathers import SubgatherReply, SubgatherRequest
+from sesametrack.contracts.types import Instant
+from sesametrack.links.caller_server import IncomingRequest, OutgoingResponse
+from sesametrack.links.upstream_http import OutgoingRequest
+from sesametrack.routing.desired import Route, TopRecords
+from sesametrack.routing.events import (
+    Answer,
+    CallerRequest,
+    Headers,
+    MergedAnswer,
+    ReplyKind,
+    Send,
+    UpstreamReply,
+)
+from sesametrack.routing.exchanges import GatherTimes
+
+_TARGET = b'/v1/subgather'
+_METHOD = b'POST'
+_OK = 200
+_UNAVAILABLE = 503
+# VMs keep their connections to each other for so long; callers come to one
+# VM of a large failure domain seconds apart.
+KEEP_S = 30
+_HEADERS: Headers = [(b'keep-alive', b'timeout=%d' % KEEP_S)]
+# A send that was planned before is still bounded by a target and a half.
+_EARLY_PART = 1.5
+
+_encoder = Encoder()
+_request_decoder = Decoder(SubgatherRequest)
+_reply_decoder = Decoder(SubgatherReply)
+
+
+def build_subgather(
+    request: CallerRequest,
+    route: Route,
+    send: Send,
+    now: Callable[[], Instant],
+) -> OutgoingRequest:
+    """Write what an aggregator is asked for, with the times that are left."""
+    asked_at = now()
+    message = SubgatherRequest(
+        request.id,
+        request.method,
+        request.path,
+        request.headers,
+        request.body,
+        route.name,
+        route.target,
+        route.max_attempts,
+        route.merge.count,
+        list(send.subgather.shards),
+        send.deadline - asked_at,
+        send.subgather.cutoff - asked_at,
+        asked_at - request.arrived_at,
+        send.subgather.may_have_run,
+    )
+    body = _encoder.encode(message)
+    headers = [(b'content-length', b'%d' % len(body)), (b'host', b'peer')]
+    return OutgoingRequest(_METHOD, _TARGET, headers, body)
+
+
+def read_subgather(
+    incoming: IncomingRequest,
+) -> tuple[CallerRequest, Route, GatherTimes, bool]:
+    """Read a sub-gather: its request, its route, its times, if repeated.
+
+    Raises ProtocolError.
+    """
+    try:
+        message = _request_decoder.decode(incoming.body)
+    except (DecodeError, ValidationError) as refused:
+        raise ProtocolError(f'not a sub-gather: {refused}') from refused
+    arrived_at = incoming.arrived_at
+    request = CallerRequest(
+        message.id,
+        message.method,
+        message.path,
+        '',
+        message.headers,
+        message.body,
+        arrived_at,
+        message.left,
+    )
+    route = Route(
+        message.route,
+        '',
+        '',
+        is_repeatable=True,
+        timeout=message.left,
+        target=message.target,
+        max_attempts=message.max_attempts,
+        shards=tuple(message.shards),
+        merge=TopRecords(message.count, 0),
+    )
+    early_limit = arrived_at - message.age + message.target * _EARLY_PART
+    times = GatherTimes(
+        arrived_at + message.until_cutoff,
+        min(early_limit, arrived_at + message.left),
+    )
+    return request, route, times, message.may_have_run
+
+
+def write_subgather(
+    answer: Answer, shards: tuple[str, ...]
+) -> OutgoingResponse:
+    """Write what was gathered, which may be nothing."""
+    if isinstance(answer, MergedAnswer):
+        reply = SubgatherReply(
+            answer.digest_by_shard, answer.body, answer.missing
+        )
+    else:
+        missing = dict.fromkeys(shards, answer.reason)
+        reply = SubgatherReply({}, b'', missing)
+    return OutgoingResponse(_OK, _HEADERS, _encoder.encode(reply))
+
+
+def refuse_subgather(reason: str) -> OutgoingResponse:
+    """Write that nothing was sent to any shard."""
+    return OutgoingResponse(_UNAVAILABLE, _HEADERS, reason.encode())
+
+
+def read_subgather_reply(
+    status: int, headers: Headers, body: bytes
+) -> UpstreamReply | None:
+    """Translate an aggregator's reply; None if it cannot be read."""
+    if status != _OK:
+        return UpstreamReply(ReplyKind.rejected, status, [], b'')
+    try:
+        message = _reply_decoder.decode(body)
+    except (DecodeError, ValidationError):
+        return None
+    merged = MergedAnswer(
+        message.digest_by_shard, message.missing, message.records
+    )
+    return UpstreamReply(ReplyKind.succeeded, status, [], b'', merged=merged)
--- a/src/sesametrack/links/upstream_http.py
+++ b/src/sesametrack/links/upstream_http.py
@@ -49,7 +49,7 @@
 
     `on_reply` gets the reply that belongs to the request, `on_end` is
     called once when the connection is gone, `on_idle` when it may take the
-    next request.
+    next request, `on_interim` when an interim response has come.
     """
 
     def __init__(
@@ -58,6 +58,7 @@
         on_idle: Callable[['UpstreamConnection'], None],
         on_reply: Callable[['UpstreamConnection', UpstreamReply], None],
         on_end: Callable[['UpstreamConnection', str], None],
+        on_interim: Callable[['UpstreamConnection'], None],
     ) -> None:
         """Bind the owner's callbacks."""
         self.state = ConnectionState.connecting
@@ -68,6 +69,7 @@
         self._on_idle = on_idle
         self._on_reply = on_reply
         self._on_end = on_end
+        self._on_interim = on_interim
         self._transport: Transport | None = None
         self._parser = ReplyParser()
         self._read_reply: ReplyReader | None = None
@@ -117,6 +119,8 @@
             self._take_all(self._parser.take_whole())
             self.abort(f'not a reply: {broken}')
             return
+        if self._parser.take_interims():
+            self._on_interim(self)
         self._take_all(replies)
 
     def eof_received(self) -> bool:
--- a/src/sesametrack/links/upstream_pool.py
+++ b/src/sesametrack/links/upstream_pool.py
@@ -42,6 +42,9 @@
     def on_reply(self, attempt_id: int, reply: UpstreamReply) -> None:
         """Take a whole reply."""
 
+    def on_interim(self, attempt_id: int) -> None:
+        """Take an interim response."""
+
     def on_failure(self, attempt_id: int, kind: FailureKind, why: str) -> None:
         """Take the end of a send without a reply."""
 
@@ -145,7 +148,11 @@
     async def _open(self) -> None:
         begun = self._now()
         connection = UpstreamConnection(
-            self._now, self._rest, self._take_reply, self._take_end
+            self._now,
+            self._rest,
+            self._take_reply,
+            self._take_end,
+            self._take_interim,
         )
         try:
             async with timeout(_CONNECT_TIMEOUT):
@@ -203,6 +210,10 @@
     ) -> None:
         self._owner.on_reply(connection.attempt_id, reply)
 
+    def _take_interim(self, connection: UpstreamConnection) -> None:
+        if connection.attempt_id is not None:
+            self._owner.on_interim(connection.attempt_id)
+
     def _take_end(self, connection: UpstreamConnection, why: str) -> None:
         self._connections.discard(connection)
         if connection in self._idle:
--- a/src/sesametrack/platform/headers.py
+++ b/src/sesametrack/platform/headers.py
@@ -137,8 +137,8 @@
     if isinstance(answer, MergedAnswer):
         headers = [
             echo,
-            (_DIGESTS, b', '.join(answer.digests)),
-            (_MISSING, str(answer.missing).encode()),
+            (_DIGESTS, b', '.join(answer.digest_by_shard.values())),
+            (_MISSING, str(len(answer.missing)).encode()),
         ]
         return OutgoingResponse(_OK, headers, answer.body)
     if isinstance(answer, Refusal):
--- a/src/sesametrack/platform/registration.py
+++ b/src/sesametrack/platform/registration.py
@@ -47,7 +47,7 @@
         domain: FailureDomainId,
         peer_address: Address,
         relay_address: Address,
-        on_fleet: Callable[[list[FleetVm], list[Address]], None],
+        on_fleet: Callable[[list[FleetVm]], None],
         now: Callable[[], Instant],
         rng: Random,
         *,
@@ -136,16 +136,16 @@
             log_event(_log, 'vm-entry-removed', vm=vm)
             await self._connection.delete(_KIND, vm)
         live = sorted(self._fleet.live & entry_by_vm.keys())
-        peers = [entry_by_vm[vm].peer_address for vm in live if vm != self._vm]
         fleet = [
             FleetVm(
                 vm,
                 entry_by_vm[vm].failure_domain,
                 entry_by_vm[vm].relay_address,
+                entry_by_vm[vm].peer_address,
             )
             for vm in live
         ]
-        self._on_fleet(fleet, peers)
+        self._on_fleet(fleet)
 
 
 def _read_entry(found: StoreObject) -> _Entry | None:
--- a/src/sesametrack/platform/relay.py
+++ b/src/sesametrack/platform/relay.py
@@ -24,6 +24,9 @@
 _GONE = 410
 _MS = 1000
 _MAX_HISTORY = 2000
+# A watcher that starts has its first list well within that time, if the store
+# answers; those that wait for it have this and other relays to ask.
+_FIRST_LIST_TIME: Seconds = 0.5
 
 
 @dataclass(slots=True)
@@ -33,6 +36,7 @@
     object_by_name: dict[str, StoreObject] = field(default_factory=dict)
     history: deque = field(default_factory=deque)
     changed: Event = field(default_factory=Event)
+    is_listed: bool = False
     # Set while this VM's own watch of the kind fails.
     is_lost: bool = False
 
@@ -85,6 +89,7 @@
         kept.object_by_name = {one.meta.name: one for one in objects}
         kept.history.clear()
         kept.is_lost = False
+        kept.is_listed = True
         kept.revision = revision
         kept.oldest = revision
         _wake(kept)
@@ -107,8 +112,14 @@
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         target = urlsplit(request.path)
-        kept = self._by_kind.get(target.path.removeprefix(_PREFIX))
-        if kept is None:
+        kept = self._by_kind.setdefault(
+            target.path.removeprefix(_PREFIX), _Kind()
+        )
+        if not kept.is_listed:
+            # All VMs of a fleet may start at once.
+            with suppress(TimeoutError):
+                await wait_for(kept.changed.wait(), _FIRST_LIST_TIME)
+        if not kept.is_listed:
             return HttpResponse(_NOT_FOUND)
         query = {key: found[0] for key, found in parse_qs(target.query).items()}
         if 'watch' in query:
--- a/src/sesametrack/programs/forwarder.py
+++ b/src/sesametrack/programs/forwarder.py
@@ -7,14 +7,23 @@
 from logging import getLogger
 from random import Random
 
-from sesametrack.contracts.exceptions import RequestError
+from sesametrack.contracts.exceptions import ProtocolError, RequestError
 from sesametrack.contracts.types import (
+    FailureDomainId,
     Instant,
     Seconds,
     ServiceId,
     UpstreamId,
+    VmId,
 )
 from sesametrack.links.caller_server import CallerConnection, IncomingRequest
+from sesametrack.links.subgathers import (
+    build_subgather,
+    read_subgather,
+    read_subgather_reply,
+    refuse_subgather,
+    write_subgather,
+)
 from sesametrack.links.upstream_pool import (
     PendingSend,
     PoolOwner,
@@ -54,15 +63,23 @@
     Exchange,
     GatherExchange,
     SingleExchange,
+    gather_times,
     is_out_of_reach,
 )
+from sesametrack.routing.groups import AGGREGATORS, Aggregators
 from sesametrack.routing.pacing import ColdPacer
 from sesametrack.routing.routes import RouteTable
 from sesametrack.routing.selection import Selector
-from sesametrack.routing.shares import UNKNOWN_FLEET, connection_share
+from sesametrack.routing.shares import (
+    UNKNOWN_FLEET,
+    LimitShares,
+    connection_share,
+)
 from sesametrack.routing.timing import TimingTable
+from sesametrack.routing.wide_gather import WideGatherExchange
 from sesametrack.telemetry.journal import log_event
 from sesametrack.telemetry.metrics import Metrics
+from sesametrack.vms.watchers import FleetVm
 
 _MS = 1000
 # After a caller has left, its sends may still end by themselves for so
@@ -78,6 +95,10 @@
 # A timer that fires so late shows that the process lags behind its input.
 _LAG: Seconds = 0.002
 _DEFERRAL: Seconds = 0.0005
+# Sends that need no line of their own.
+_USUAL_SENDS = frozenset(('first', 'aggregate'))
+# Sub-gathers under way at one aggregator at the same time.
+_MAX_PEER_CONNECTIONS = 8
 _WARM_USUAL: Seconds = 0.01
 _NO_STATE_RETRY_AFTER: Seconds = 0.1
 
@@ -89,7 +110,8 @@
 
     def __init__(
         self,
-        vm_domain: str,
+        vm: VmId,
+        vm_domain: FailureDomainId,
         budget: RetryBudget,
         metrics: Metrics,
         loop: AbstractEventLoop,
@@ -99,11 +121,13 @@
         """Build the decisions and bind the clock."""
         self.routes = RouteTable()
         self.directory = UpstreamDirectory()
+        self.aggregators = Aggregators(vm, vm_domain)
         self.budget = budget
         self.is_stopping = False
         # Set while this VM cannot reach what others may reach.
         self.is_cut_off = False
         self.vm_count = UNKNOWN_FLEET
+        self._shares = LimitShares(UNKNOWN_FLEET)
         self._metrics = metrics
         self._loop = loop
         self._now = now
@@ -157,13 +181,14 @@
         """Return all routes whose listed upstreams are out of reach."""
         if self.routes.state is None:
             return []
+        now = self._now()
         # Many routes share their services.
         is_out_by_key: dict[tuple[object, ...], bool] = {}
         found = []
         for route in self.routes.state.routes:
             key = (route.services, route.merge)
             if key not in is_out_by_key:
-                is_out_by_key[key] = is_out_of_reach(route, self.directory)
+                is_out_by_key[key] = is_out_of_reach(route, self.directory, now)
             if is_out_by_key[key]:
                 found.append(route.name)
         return found
@@ -181,8 +206,12 @@
     def divide(self, vm_count: int) -> None:
         """Take this VM's share of every limit of the whole fleet."""
         self.vm_count = vm_count
-        self.budget.divide(vm_count)
-        self._pacer.divide(vm_count)
+        gathers = set()
+        if self.routes.state is not None:
+            gathers = {route.shards for route in self.routes.state.routes}
+        self._shares = self.aggregators.shares(vm_count, gathers)
+        self.budget.divide(self._shares)
+        self._pacer.divide(self._shares)
         self._links.apply_limits()
 
     def apply_state(self) -> None:
@@ -200,10 +229,11 @@
         if self.routes.state is None or not self.directory.is_known:
             return
         now = self._now()
+        scattered = {route.shards for route in self.routes.state.routes}
         services = {
             service
-            for route in self.routes.state.routes
-            for service in route.shards
+            for shards in scattered
+            for service in self._asked_directly(shards)
         }
         chosen = [
             self._context.selector.choose(
@@ -213,6 +243,25 @@
         ]
         self._links.open_ahead([one for one in chosen if one is not None])
 
+    def _asked_directly(
+        self, shards: tuple[ServiceId, ...]
+    ) -> tuple[ServiceId, ...]:
+        """Return the shards of a gather that this VM sends to itself."""
+        if not self.aggregators.groups(shards):
+            return shards
+        return tuple(
+            shard
+            for shard in shards
+            if self._shares.rank_by_service.get(shard) == 0
+        )
+
+    def apply_fleet(self, fleet: list[FleetVm], vm_count: int) -> None:
+        """Take over the live VMs, which share the limits and the work."""
+        is_changed, gone = self.aggregators.apply(fleet)
+        self._links.forget(gone)
+        if is_changed or vm_count != self.vm_count:
+            self.divide(vm_count)
+
     def forget(self, upstream_ids: list[UpstreamId]) -> None:
         """Let go of upstreams that are no longer listed."""
         for upstream_id in upstream_ids:
@@ -246,6 +295,44 @@
             return
         self._begin(connection, request, route)
 
+    def on_subgather(
+        self, connection: CallerConnection, incoming: IncomingRequest
+    ) -> None:
+        """Send another VM's request to some shards of its route."""
+        try:
+            request, route, times, may_have_run = read_subgather(incoming)
+        except ProtocolError as refused:
+            log_event(_log, 'subgather-refused', 30, problem=str(refused))
+            connection.respond(refuse_subgather(str(refused)), is_last=True)
+            return
+        if self.is_stopping or not self.directory.is_known:
+            log_event(
+                _log,
+                'subgather-refused',
+                request_id=request.id,
+                is_stopping=self.is_stopping,
+            )
+            connection.respond(
+                refuse_subgather('not-ready'), is_last=self.is_stopping
+            )
+            return
+        connection.acknowledge()
+        exchange = GatherExchange(
+            request, route, self._context, times, is_repeat=may_have_run
+        )
+        self._metrics.count('subgathers.started')
+        self._run(
+            Running(
+                request,
+                route,
+                exchange,
+                connection,
+                self.routes.version,
+                partial(write_subgather, shards=route.shards),
+                is_subgather=True,
+            )
+        )
+
     def on_left(self, connection: CallerConnection) -> None:
         """Take the leaving of a caller before its answer."""
         running = self._running_by_connection.pop(connection, None)
@@ -262,7 +349,8 @@
         for in_flight in self._in_flight_by_attempt.values():
             if in_flight.running is running:
                 in_flight.is_caller_gone = True
-                in_flight.abort_at = min(in_flight.abort_at, now + _LEFT_GRACE)
+                grace = 0 if in_flight.is_subgather else _LEFT_GRACE
+                in_flight.abort_at = min(in_flight.abort_at, now + grace)
 
     def on_refused(self, status: int) -> None:
         """Count a request that broke a limit or the protocol."""
@@ -281,9 +369,7 @@
         if reply.load is not None:
             health.record_load(*reply.load, now)
         if reply.kind is ReplyKind.succeeded:
-            usual = in_flight.timing.usual(now)
-            health.record_reply(attempt_id, usual, now)
-            in_flight.timing.record(now - in_flight.sent_at, now)
+            self._record_success(in_flight, attempt_id, now)
         else:
             self._record_failure(in_flight, attempt_id, reply.kind.value, now)
         if reply.kind is ReplyKind.misdirected:
@@ -294,6 +380,17 @@
                 running, running.exchange.on_reply(attempt_id, reply, now), now
             )
 
+    def on_interim(self, attempt_id: int) -> None:
+        """Take an aggregator's word that it works on a sub-gather."""
+        in_flight = self._in_flight_by_attempt.get(attempt_id)
+        if in_flight is None or in_flight.running.exchange.is_done:
+            return
+        exchange = in_flight.running.exchange
+        if isinstance(exchange, WideGatherExchange):
+            now = self._now()
+            found = exchange.on_acknowledged(attempt_id, now)
+            self._perform(in_flight.running, found, now)
+
     def on_failure(self, attempt_id: int, kind: FailureKind, why: str) -> None:
         """Take the end of a send without a reply."""
         in_flight = self._in_flight_by_attempt.pop(attempt_id, None)
@@ -318,20 +415,35 @@
         request: CallerRequest,
         route: Route,
     ) -> None:
-        exchange: Exchange
-        if route.shards:
-            exchange = GatherExchange(request, route, self._context)
-        else:
-            service = self.routes.choose_branch(route)
-            exchange = SingleExchange(request, route, service, self._context)
-        running = Running(
-            request, route, exchange, connection, self.routes.version
-        )
-        self._running_by_connection[connection] = running
         self._used_at_by_route[route.name] = request.arrived_at
         self._metrics.count('requests.started')
+        self._run(
+            Running(
+                request,
+                route,
+                self._exchange(request, route),
+                connection,
+                self.routes.version,
+                partial(write_answer, request_id=request.id),
+            )
+        )
+
+    def _exchange(self, request: CallerRequest, route: Route) -> Exchange:
+        if not route.shards:
+            service = self.routes.choose_branch(route)
+            return SingleExchange(request, route, service, self._context)
+        groups = self.aggregators.groups(route.shards)
+        if groups:
+            return WideGatherExchange(
+                request, route, self._context, self.aggregators, groups
+            )
+        times = gather_times(request, route)
+        return GatherExchange(request, route, self._context, times)
+
+    def _run(self, running: Running) -> None:
+        self._running_by_connection[running.connection] = running
         now = self._now()
-        self._perform(running, exchange.start(now), now)
+        self._perform(running, running.exchange.start(now), now)
 
     def _perform(
         self, running: Running, actions: list[Action], now: Instant
@@ -357,7 +469,7 @@
         pool = self._links.pool(send.upstream)
         request = running.request
         running.count_send(send.reason)
-        if send.reason != 'first':
+        if send.reason not in _USUAL_SENDS:
             log_event(
                 _log,
                 send.reason,
@@ -377,20 +489,28 @@
             now,
             send.deadline + _OVERDUE,
             send.reason,
+            is_subgather=send.subgather is not None,
         )
-        pool.send(
-            PendingSend(
+        pool.send(self._plan_send(running, send))
+
+    def _plan_send(self, running: Running, send: Send) -> PendingSend:
+        request = running.request
+        if send.subgather is not None:
+            return PendingSend(
                 send.attempt_id,
                 partial(
-                    build_send,
-                    request,
-                    send.upstream.id,
-                    send.deadline,
-                    self._now,
+                    build_subgather, request, running.route, send, self._now
                 ),
-                partial(read_reply, request.id.encode('latin-1')),
-                running.route.is_repeatable,
+                read_subgather_reply,
+                is_repeatable=True,
             )
+        return PendingSend(
+            send.attempt_id,
+            partial(
+                build_send, request, send.upstream.id, send.deadline, self._now
+            ),
+            partial(read_reply, request.id.encode('latin-1')),
+            running.route.is_repeatable,
         )
 
     def _deliver(self, running: Running, answer: Answer, now: Instant) -> None:
@@ -408,8 +528,9 @@
         if connection is not None:
             self._running_by_connection.pop(connection, None)
             connection.respond(
-                write_answer(answer, running.request.id),
-                is_last=self.is_leaving,
+                running.write(answer),
+                is_last=self.is_stopping
+                or (self.is_cut_off and not running.is_subgather),
             )
 
     def _stop(self, running: Running) -> None:
@@ -477,12 +598,28 @@
         connection.respond(write_unrouted(request.id), is_last=self.is_leaving)
 
     def _max_connections(self, service: ServiceId) -> int:
+        if service == AGGREGATORS:
+            return _MAX_PEER_CONNECTIONS
         spec = None
         if self.routes.state is not None:
             spec = self.routes.state.service_by_id.get(service)
         if spec is None:
             return 1
-        return connection_share(spec.max_connections, self.vm_count)
+        return connection_share(
+            spec.max_connections, self._shares.part(service)
+        )
+
+    def _record_success(
+        self, in_flight: InFlight, attempt_id: int, now: Instant
+    ) -> None:
+        elapsed = now - in_flight.sent_at
+        health = in_flight.upstream.health
+        if in_flight.is_subgather:
+            # Its time is that of its slowest shard, and says nothing of it.
+            health.record_reply(attempt_id, elapsed, now)
+            return
+        health.record_reply(attempt_id, in_flight.timing.usual(now), now)
+        in_flight.timing.record(elapsed, now)
 
     def _record_failure(
         self, in_flight: InFlight, attempt_id: int, why: str, now: Instant
--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -28,22 +28,23 @@
 )
 from sesametrack.contracts.settings import split_address
 from sesametrack.contracts.types import (
-    Address,
     FailureDomainId,
     Instant,
     Seconds,
+    ServiceId,
     UpstreamId,
 )
 from sesametrack.links.caller_server import CallerServer
 from sesametrack.links.http import HttpRequest, HttpResponse
 from sesametrack.links.http_server import HttpServer
+from sesametrack.links.subgathers import KEEP_S
 from sesametrack.platform.follower import RELAY_MAX_AGE, Follower
 from sesametrack.platform.registration import Registration
 from sesametrack.platform.relay import Relay
 from sesametrack.programs.forwarder import Forwarder
 from sesametrack.programs.hinting import HintExchange
 from sesametrack.routing.budget import BudgetRule, RetryBudget
-from sesametrack.routing.desired import DesiredState
+from sesametrack.routing.desired import ClientLimits, DesiredState
 from sesametrack.routing.directory import UpstreamRecord
 from sesametrack.telemetry.journal import (
     JournalHandler,
@@ -65,6 +66,9 @@
 # How often the reach of routes is looked at; the balancer asks each second.
 _REACH_INTERVAL: Seconds = 0.25
 _VERIFY_INTERVAL: Seconds = 2
+# What other VMs may send: a caller's request and its shards, on connections
+# that rest longer than those VMs keep them.
+_PEER_LIMITS = ClientLimits(max_body_bytes=4 << 20, idle_timeout=KEEP_S + 10)
 # For so long after the store's return, entries may be missing that lapsed
 # while it was away.
 _LAPSE_WINDOW: Seconds = 2.5
@@ -104,6 +108,7 @@
             settings.retries.slack,
         )
         self._forwarder = Forwarder(
+            settings.vm,
             settings.failure_domain,
             RetryBudget(rule, steady_time()),
             self._metrics,
@@ -111,6 +116,7 @@
             steady_time,
             rng,
         )
+        peer_address = f'{settings.address}:{settings.peer_ports[0]}'
         host, port = split_address(settings.callers)
         self._callers = CallerServer(
             host,
@@ -121,6 +127,17 @@
             self._forwarder.on_left,
             self._forwarder.on_refused,
         )
+        host, port = split_address(peer_address)
+        self._subgathers = CallerServer(
+            host,
+            port,
+            self._loop,
+            steady_time,
+            self._forwarder.on_subgather,
+            self._forwarder.on_left,
+            self._forwarder.on_refused,
+        )
+        self._subgathers.limits = _PEER_LIMITS
         host, port = split_address(settings.readiness)
         self._readiness = HttpServer(host, port, self._answer_readiness)
         self._admin = HttpServer(
@@ -132,7 +149,6 @@
         self._follower = Follower(
             self._sources, self._relay, self, steady_time, rng
         )
-        peer_address = f'{settings.address}:{settings.peer_ports[0]}'
         self._hints = HintExchange(
             settings.vm,
             settings.failure_domain,
@@ -170,6 +186,7 @@
         await self._callers.start()
         self._forwarder.start()
         self._check_reach()
+        await self._subgathers.start()
         await self._relay.start()
         await self._follower.start(is_first_start=self._settings.is_first_start)
         await self._hints.start()
@@ -212,11 +229,26 @@
         await self._hints.close()
         await self._follower.close()
         await self._callers.close()
+        await self._subgathers.close()
         self._forwarder.close()
         for server in (self._readiness, self._admin, self._relay):
             with suppress(TimeoutError):
                 await wait_for(server.close(), _CLOSE_TIME / 3)
 
+    def has_aggregators(self, shards: tuple[ServiceId, ...]) -> bool:
+        """Tell whether a gather over these shards is shared with other VMs."""
+        return bool(self._forwarder.aggregators.groups(shards))
+
+    @property
+    def busy(self) -> int:
+        """Number of requests without an answer, those of other VMs too."""
+        return self._forwarder.busy
+
+    @property
+    def connections_opened(self) -> int:
+        """Number of connections opened to listed upstreams."""
+        return self._forwarder.opened
+
     # What the platform tells.
 
     def on_desired_state(self, state: DesiredState) -> None:
@@ -300,31 +332,31 @@
     def _is_after_outage(self) -> bool:
         return steady_time() < self._regained_at + _LAPSE_WINDOW
 
-    def _on_fleet(self, fleet: list[FleetVm], peers: list[Address]) -> None:
+    def _on_fleet(self, fleet: list[FleetVm]) -> None:
         is_listed = any(one.vm == self._settings.vm for one in fleet)
         vm_count = len(fleet) if is_listed else len(fleet) + 1
-        self._hints.peers = peers
+        self._hints.peers = [
+            one.peer for one in fleet if one.vm != self._settings.vm
+        ]
         domain = self._settings.failure_domain
         watchers = choose_watchers(fleet, domain)
         size = sum(1 for one in fleet if one.failure_domain == domain)
         self._sources.assign(watchers, size)
         self._follower.assign(is_relaying=size > len(watchers))
+        before = self._forwarder.vm_count
+        self._forwarder.apply_fleet(fleet, vm_count)
         if not self._is_warm:
             self._is_warm = True
-            self._forwarder.divide(vm_count)
             self._forwarder.warm()
-        if vm_count == self._forwarder.vm_count:
-            return
-        log_event(
-            _log, 'fleet-size', vms=vm_count, before=self._forwarder.vm_count
-        )
-        self._forwarder.divide(vm_count)
-        self._metrics.gauge('fleet.vms', vm_count)
+        if vm_count != before:
+            log_event(_log, 'fleet-size', vms=vm_count, before=before)
+            self._metrics.gauge('fleet.vms', vm_count)
 
     # The process.
 
     @property
-    def _is_ready(self) -> bool:
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may send callers here."""
         return (
             not self._forwarder.is_leaving
             and self._forwarder.routes.state is not None
@@ -355,7 +387,7 @@
                 served_by=serving,
             )
         self._hints.unservable = out_of_reach
-        self._hints.is_ready = self._is_ready
+        self._hints.is_ready = self.is_ready
         if self._unservable and now > self._verified_at + _VERIFY_INTERVAL:
             self._verified_at = now
             task = self._loop.create_task(self._follower.verify())
@@ -366,7 +398,7 @@
         )
 
     async def _answer_readiness(self, request: HttpRequest) -> HttpResponse:
-        return HttpResponse(_OK if self._is_ready else _UNAVAILABLE)
+        return HttpResponse(_OK if self.is_ready else _UNAVAILABLE)
 
     async def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
         self._metrics.gauge('store.calls', self._follower.calls)
--- a/src/sesametrack/programs/running.py
+++ b/src/sesametrack/programs/running.py
@@ -1,10 +1,11 @@
 """Requests under way, and what the log says of their ends."""
 
 from asyncio import TimerHandle
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from sesametrack.contracts.types import Instant, ServiceId
-from sesametrack.links.caller_server import CallerConnection
+from sesametrack.links.caller_server import CallerConnection, OutgoingResponse
 from sesametrack.links.upstream_pool import UpstreamPool
 from sesametrack.routing.desired import Route
 from sesametrack.routing.directory import Upstream
@@ -34,6 +35,9 @@
     exchange: Exchange
     connection: CallerConnection | None
     version: int
+    # Translates the answer for whom it goes to: a caller or another VM.
+    write: Callable[[Answer], OutgoingResponse]
+    is_subgather: bool = False
     timer: TimerHandle | None = None
     timer_at: Instant = float('inf')
     is_deferred: bool = False
@@ -62,6 +66,8 @@
     sent_at: Instant
     abort_at: Instant
     reason: str
+    # Whether the upstream is an aggregator, which must end its own sends.
+    is_subgather: bool = False
     is_caller_gone: bool = False
 
     @property
--- a/src/sesametrack/programs/upstream_links.py
+++ b/src/sesametrack/programs/upstream_links.py
@@ -117,6 +117,10 @@
         """Pass on a whole reply of an upstream."""
         self._sends.on_reply(attempt_id, reply)
 
+    def on_interim(self, attempt_id: int) -> None:
+        """Pass on an interim response."""
+        self._sends.on_interim(attempt_id)
+
     def on_failure(self, attempt_id: int, kind: FailureKind, why: str) -> None:
         """Pass on the end of a send without a reply."""
         self._sends.on_failure(attempt_id, kind, why)
--- a/src/sesametrack/routing/budget.py
+++ b/src/sesametrack/routing/budget.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from sesametrack.contracts.types import Instant, Seconds, ServiceId
+from sesametrack.routing.shares import LimitShares
 
 _BUCKETS = 20
 
@@ -51,12 +52,12 @@
         """Bind the rule; `started_at` is the start of this process."""
         self._rule = rule
         self._slack_from = started_at + rule.window
-        self._vm_count = 1
+        self._shares = LimitShares()
         self._usage_by_service: dict[ServiceId, _Usage] = {}
 
-    def divide(self, vm_count: int) -> None:
-        """Share the slack with so many VMs."""
-        self._vm_count = max(1, vm_count)
+    def divide(self, shares: LimitShares) -> None:
+        """Share the slack with the other VMs."""
+        self._shares = shares
 
     def record_request(self, service: ServiceId, now: Instant) -> None:
         """Count the first send of a request."""
@@ -69,7 +70,7 @@
         usage = self._roll(service, now)
         is_first = now < self._slack_from
         part = self.first_slack_part if is_first else self.slack_part
-        slack = self._rule.slack / self._vm_count * part
+        slack = self._rule.slack * self._shares.part(service) * part
         ratio = self._rule.ratio * self.ratio_part
         return ratio * usage.requests + slack - usage.extras
 
--- a/src/sesametrack/routing/calls.py
+++ b/src/sesametrack/routing/calls.py
@@ -75,6 +75,8 @@
     # would not be waited for, and in an upstream's queue the request would
     # only delay those that can still be answered in time.
     early_limit: Instant = 0
+    # Another VM may have sent the request to this service before.
+    is_repeat: bool = False
     attempts: list[Attempt] = field(default_factory=list)
     reply: UpstreamReply | None = None
     failed_reply: UpstreamReply | None = None
@@ -95,6 +97,9 @@
 
     def start(self, now: Instant) -> list[Action]:
         """Send the request for the first time."""
+        if self.is_repeat:
+            self._has_arrival = True
+            return self._send('retry', now)
         self.context.budget.record_request(self.service, now)
         return self._send('first', now)
 
--- a/src/sesametrack/routing/directory.py
+++ b/src/sesametrack/routing/directory.py
@@ -16,6 +16,9 @@
 # Entries that lapsed while the store was away come back within two seconds
 # of its return; one that is missing after that is gone.
 _LAPSE_TIME: Seconds = 2.2
+# What another VM said of a service without a reachable upstream holds until
+# its next request is likely to have told again.
+_LOST_TIME: Seconds = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +65,7 @@
         self.evacuated: frozenset[FailureDomainId] = frozenset()
         self.is_known = False
         self._by_service: dict[ServiceId, list[Upstream]] = {}
+        self._lost_until: dict[ServiceId, Instant] = {}
 
     def usable(self, service: ServiceId) -> list[Upstream]:
         """Return the upstreams of a service that may get new work."""
@@ -73,6 +77,15 @@
             and upstream.record.failure_domain not in self.evacuated
         ]
 
+    def record_lost(self, services: Iterable[ServiceId], now: Instant) -> None:
+        """Note that another VM reaches no upstream of these services."""
+        for service in services:
+            self._lost_until[service] = now + _LOST_TIME
+
+    def is_lost(self, service: ServiceId, now: Instant) -> bool:
+        """Tell whether another VM lately reached no upstream of a service."""
+        return now < self._lost_until.get(service, now)
+
     def apply_listing(
         self,
         records: Iterable[UpstreamRecord],
--- a/src/sesametrack/routing/events.py
+++ b/src/sesametrack/routing/events.py
@@ -63,17 +63,35 @@
     body: bytes
     digest: bytes = b''
     load: tuple[int, int] | None = None
+    # What an aggregator gathered from its shards.
+    merged: 'MergedAnswer | None' = None
+
+
+@dataclass(frozen=True, slots=True)
+class Subgather:
+    """What an aggregator is asked for.
+
+    `may_have_run` tells that some of the shards may have the request already.
+    """
+
+    shards: tuple[ServiceId, ...]
+    cutoff: Instant
+    may_have_run: bool
 
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Send the request to an upstream; `deadline` bounds its work."""
+    """Send the request to an upstream; `deadline` bounds its work.
+
+    With a `subgather` the upstream is an aggregator.
+    """
 
     attempt_id: int
     upstream: Upstream
     deadline: Instant
     service: ServiceId
     reason: str
+    subgather: Subgather | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,10 +103,13 @@
 
 @dataclass(frozen=True, slots=True)
 class MergedAnswer:
-    """Answer with records of the shards whose digests are listed."""
+    """Answer with the greatest records of the shards that have a digest.
+
+    `missing` tells why the other shards are not in.
+    """
 
-    digests: tuple[bytes, ...]
-    missing: int
+    digest_by_shard: dict[ServiceId, bytes]
+    missing: dict[ServiceId, str]
     body: bytes
 
 
--- a/src/sesametrack/routing/exchanges.py
+++ b/src/sesametrack/routing/exchanges.py
@@ -1,5 +1,6 @@
 """One caller's request from its arrival to its one answer."""
 
+from dataclasses import dataclass
 from typing import Protocol
 
 from sesametrack.contracts.types import Instant, Seconds
@@ -21,7 +22,7 @@
 from sesametrack.routing.merge import merge_greatest
 
 # Time kept back before the deadline to write the answer.
-_ANSWER_TIME: Seconds = 0.008
+ANSWER_TIME: Seconds = 0.008
 # Time that is left for the way back when a gather answers without its last
 # shards: two round trips to a caller some milliseconds away, and a part of
 # the target for what the caller's request waited before it was read.
@@ -41,8 +42,8 @@
 _SILENT_PART = 0.6
 # When a refused caller may come back: a connection attempt to a lost
 # upstream is repeated about as often.
-_RETRY_AFTER: Seconds = 0.25
-_NEVER: Instant = float('inf')
+RETRY_AFTER: Seconds = 0.25
+NEVER: Instant = float('inf')
 # Shares are given in decimals, which binary fractions only come near to.
 _ROUNDING = 1e-9
 
@@ -79,31 +80,37 @@
     return request.arrived_at + allowed
 
 
-def is_servable(route: Route, directory: UpstreamDirectory) -> bool:
+def is_servable(
+    route: Route, directory: UpstreamDirectory, now: Instant
+) -> bool:
     """Tell whether enough services of a route have a reachable upstream."""
     reachable = sum(
         1
         for service in route.services
-        if any(
+        if not directory.is_lost(service, now)
+        and any(
             not upstream.health.is_unreachable
             for upstream in directory.usable(service)
         )
     )
-    return _is_enough(route, reachable)
+    return is_enough(route, reachable)
 
 
-def is_out_of_reach(route: Route, directory: UpstreamDirectory) -> bool:
+def is_out_of_reach(
+    route: Route, directory: UpstreamDirectory, now: Instant
+) -> bool:
     """Tell whether a route's upstreams are listed, but not reachable.
 
     A route whose upstreams are not listed cannot be served by any VM.
     """
-    if is_servable(route, directory):
+    if is_servable(route, directory, now):
         return False
     listed = sum(1 for service in route.services if directory.usable(service))
-    return _is_enough(route, listed)
+    return is_enough(route, listed)
 
 
-def _is_enough(route: Route, shards: int) -> bool:
+def is_enough(route: Route, shards: int) -> bool:
+    """Tell whether a route's answer may lack all but so many services."""
     if route.merge is None:
         return shards > 0
     least = route.merge.least_share * len(route.shards)
@@ -123,14 +130,14 @@
         """Bind the request to the service that was chosen for it."""
         self.deadline = exchange_deadline(request, route)
         self.is_done = False
-        self.wake_at: Instant = _NEVER
-        self._latest = self.deadline - _ANSWER_TIME
+        self.wake_at: Instant = NEVER
+        self._latest = self.deadline - ANSWER_TIME
         self._call = Call(context, route, service, self.deadline, self._latest)
 
     def start(self, now: Instant) -> list[Action]:
         """Send the request for the first time."""
         if now >= self._latest:
-            return self._deliver(Refusal('deadline', _RETRY_AFTER))
+            return self._deliver(Refusal('deadline', RETRY_AFTER))
         return self._settle(self._call.start(now), now)
 
     def on_reply(
@@ -165,16 +172,40 @@
         if call.failed_reply is not None:
             return ForwardReply(call.failed_reply)
         if not call.may_have_run:
-            return Refusal(call.reason or 'deadline', _RETRY_AFTER)
+            return Refusal(call.reason or 'deadline', RETRY_AFTER)
         is_late = now >= self._latest
         return Failure(call.reason or 'deadline', is_late)
 
     def _deliver(self, answer: Answer) -> list[Action]:
         self.is_done = True
-        self.wake_at = _NEVER
+        self.wake_at = NEVER
         return [Deliver(answer)]
 
 
+@dataclass(frozen=True, slots=True)
+class GatherTimes:
+    """When a gather stops waiting, and until when its sends are bound.
+
+    After `cutoff` the last shards are left out if the others suffice. Sends
+    of before `early_limit` carry it as their deadline.
+    """
+
+    cutoff: Instant
+    early_limit: Instant
+
+
+def gather_times(request: CallerRequest, route: Route) -> GatherTimes:
+    """Return the times of a gather whose caller waits at this VM."""
+    deadline = exchange_deadline(request, route)
+    in_time = max(
+        route.target / 2, route.target * (1 - _RETURN_PART) - _RETURN_TIME
+    )
+    return GatherTimes(
+        min(deadline - ANSWER_TIME, request.arrived_at + in_time),
+        min(deadline, request.arrived_at + route.target * _EARLY_PART),
+    )
+
+
 class GatherExchange:
     """Scatters a request to all shards of a route and merges the replies.
 
@@ -186,26 +217,22 @@
     """
 
     def __init__(
-        self, request: CallerRequest, route: Route, context: CallContext
+        self,
+        request: CallerRequest,
+        route: Route,
+        context: CallContext,
+        times: GatherTimes,
+        *,
+        is_repeat: bool = False,
     ) -> None:
         """Bind the request to the shards of the route."""
         self.deadline = exchange_deadline(request, route)
         self.is_done = False
-        self.wake_at: Instant = _NEVER
+        self.wake_at: Instant = NEVER
         self._route = route
         self._context = context
-        self._latest = self.deadline - _ANSWER_TIME
-        self._cutoff = min(
-            self._latest,
-            request.arrived_at
-            + max(
-                route.target / 2,
-                route.target * (1 - _RETURN_PART) - _RETURN_TIME,
-            ),
-        )
-        early_limit = min(
-            self.deadline, request.arrived_at + route.target * _EARLY_PART
-        )
+        self._latest = self.deadline - ANSWER_TIME
+        self._cutoff = min(self._latest, times.cutoff)
         self._calls = [
             Call(
                 context,
@@ -213,7 +240,8 @@
                 service,
                 self.deadline,
                 self._latest,
-                early_limit,
+                times.early_limit,
+                is_repeat,
             )
             for service in route.shards
         ]
@@ -282,6 +310,11 @@
             return is_many and now < self._silent_until
         return is_many and now - self._replied_at < _FLOW_TIME
 
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether an upstream may have begun to work."""
+        return any(call.may_have_run for call in self._calls)
+
     def missing_shards(self) -> dict[str, str]:
         """Return the shards without a reply and why, for the log."""
         return {
@@ -292,10 +325,10 @@
 
     def _refuse_hopeless(self, now: Instant) -> Refusal | None:
         if now >= self._latest:
-            return Refusal('deadline', _RETRY_AFTER)
-        if is_servable(self._route, self._context.directory):
+            return Refusal('deadline', RETRY_AFTER)
+        if is_servable(self._route, self._context.directory, now):
             return None
-        return Refusal('shards-unreachable', _RETRY_AFTER)
+        return Refusal('shards-unreachable', RETRY_AFTER)
 
     def _settle(self, actions: list[Action], now: Instant) -> list[Action]:
         if self.is_done:
@@ -322,8 +355,12 @@
     def _merge(self) -> MergedAnswer:
         replies = [call.reply for call in self._calls if call.reply is not None]
         return MergedAnswer(
-            tuple(reply.digest for reply in replies),
-            len(self._calls) - len(replies),
+            {
+                call.service: call.reply.digest
+                for call in self._calls
+                if call.reply is not None
+            },
+            self.missing_shards(),
             merge_greatest(
                 (reply.body for reply in replies), self._route.merge.count
             ),
@@ -338,12 +375,12 @@
             }
         )
         reason = ','.join(reasons)
-        if not any(call.may_have_run for call in self._calls):
-            return Refusal(reason, _RETRY_AFTER)
+        if not self.may_have_run:
+            return Refusal(reason, RETRY_AFTER)
         return Failure(reason, now >= self._latest)
 
     def _suffices(self, shards: int) -> bool:
-        return _is_enough(self._route, shards)
+        return is_enough(self._route, shards)
 
     def _track(self, call: Call, actions: list[Action]) -> list[Action]:
         """Take over what an event changed in one call.
@@ -364,5 +401,5 @@
 
     def _deliver(self, answer: Answer) -> list[Action]:
         self.is_done = True
-        self.wake_at = _NEVER
+        self.wake_at = NEVER
         return [Deliver(answer)]
--- a/src/sesametrack/routing/health.py
+++ b/src/sesametrack/routing/health.py
@@ -97,6 +97,10 @@
         self.is_unreachable = True
         self._eject(now)
 
+    def eject(self, now: Instant) -> None:
+        """Give it no work for a while that grows while it stays silent."""
+        self._eject(now)
+
     def record_reachable(self) -> None:
         """Note that a connection was opened again."""
         if self.is_unreachable:
--- a/src/sesametrack/routing/pacing.py
+++ b/src/sesametrack/routing/pacing.py
@@ -8,18 +8,19 @@
 )
 from sesametrack.routing.desired import ServiceSpec
 from sesametrack.routing.directory import Upstream
+from sesametrack.routing.shares import LimitShares
 
 
 class ColdPacer:
     """Keeps this VM's share of the rate that a cold upstream bears.
 
-    Each VM spaces its sends by the number of VMs over the stated rate, so
-    the sum over all VMs stays below the rate plus one send for each.
+    Each VM spaces its sends by its part of the stated rate, so the sum over
+    all VMs stays below the rate plus one send for each.
     """
 
     def __init__(self) -> None:
         """Start with no stated rates."""
-        self._vm_count = 1
+        self._shares = LimitShares()
         self._spec_by_id: dict[ServiceId, ServiceSpec] = {}
         self._next_at_by_id: dict[UpstreamId, Instant] = {}
 
@@ -27,9 +28,9 @@
         """Take over the services' stated limits."""
         self._spec_by_id = spec_by_id
 
-    def divide(self, vm_count: int) -> None:
-        """Share the rates with so many VMs."""
-        self._vm_count = max(1, vm_count)
+    def divide(self, shares: LimitShares) -> None:
+        """Share the rates with the other VMs."""
+        self._shares = shares
 
     def allows(self, upstream: Upstream, now: Instant) -> bool:
         """Tell whether an upstream may get one more request now."""
@@ -51,7 +52,8 @@
         self._next_at_by_id.pop(upstream_id, None)
 
     def _spacing(self, upstream: Upstream) -> Seconds:
-        spec = self._spec_by_id.get(upstream.record.service)
+        service = upstream.record.service
+        spec = self._spec_by_id.get(service)
         if spec is None or spec.cold_rate <= 0:
             return 0
-        return self._vm_count / spec.cold_rate
+        return 1 / (spec.cold_rate * self._shares.part(service))
--- /dev/null
+++ b/src/sesametrack/routing/wide_gather.py
@@ -0,0 +1,403 @@
+"""A gather over so many shards that aggregators ask most of them."""
+
+from dataclasses import dataclass, replace
+
+from sesametrack.contracts.types import Instant, Seconds, ServiceId
+from sesametrack.routing.calls import CallContext
+from sesametrack.routing.desired import Route, TopRecords
+from sesametrack.routing.directory import Upstream
+from sesametrack.routing.events import (
+    Action,
+    Answer,
+    CallerRequest,
+    Deliver,
+    Failure,
+    FailureKind,
+    MergedAnswer,
+    Note,
+    Refusal,
+    Send,
+    Subgather,
+    UpstreamReply,
+)
+from sesametrack.routing.exchanges import (
+    ANSWER_TIME,
+    NEVER,
+    RETRY_AFTER,
+    GatherExchange,
+    GatherTimes,
+    exchange_deadline,
+    gather_times,
+    is_enough,
+    is_servable,
+)
+from sesametrack.routing.groups import Aggregators, ShardGroup
+from sesametrack.routing.merge import merge_greatest
+
+# An aggregator acknowledges a request before it does any of its work; one
+# that does not is stopped or cut off. A path inside a failure domain takes
+# less than a millisecond, a connection that has to be opened two more.
+_ACK_TIMEOUT: Seconds = 0.02
+# From the cut-off of an aggregator to that of the gather: its reply, and the
+# reading of all replies.
+_MERGE_TIME: Seconds = 0.006
+# An acknowledged aggregator is overdue so long after its own cut-off.
+_OVERDUE: Seconds = 0.03
+
+
+@dataclass(slots=True)
+class _Group:
+    """Shards that are asked together: by an aggregator or by this VM."""
+
+    shards: tuple[ServiceId, ...]
+    candidates: list[Upstream | None]
+    # Set while an aggregator works on it.
+    attempt_id: int | None = None
+    aggregator: Upstream | None = None
+    is_acknowledged: bool = False
+    # Set while this VM sends to the shards itself.
+    direct: GatherExchange | None = None
+    may_have_run: bool = False
+    answer: MergedAnswer | None = None
+    is_over: bool = False
+    wake_at: Instant = NEVER
+
+
+class WideGatherExchange:
+    """Divides a gather over aggregators and merges what they return.
+
+    An aggregator that is lost or silent is replaced by the next one, and
+    then by this VM itself. Each group's shards are answered by one of them,
+    so that no shard is counted twice.
+    """
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        route: Route,
+        context: CallContext,
+        aggregators: Aggregators,
+        groups: list[ShardGroup],
+    ) -> None:
+        """Bind the request to the groups of the route's shards."""
+        self.deadline = exchange_deadline(request, route)
+        self.is_done = False
+        self.wake_at: Instant = NEVER
+        self._request = request
+        self._route = route
+        self._context = context
+        self._latest = self.deadline - ANSWER_TIME
+        self._times = gather_times(request, route)
+        self._groups = [
+            _Group(group.shards, _candidates(group, aggregators))
+            for group in groups
+        ]
+        # Attempts at aggregators, and those at upstreams.
+        self._group_by_attempt: dict[int, _Group] = {}
+        self._group_by_send: dict[int, _Group] = {}
+        self._has_gone_direct = False
+
+    def start(self, now: Instant) -> list[Action]:
+        """Ask the aggregators of all groups."""
+        if now >= self._latest:
+            return self._deliver(Refusal('deadline', RETRY_AFTER))
+        if not is_servable(self._route, self._context.directory, now):
+            return self._deliver(Refusal('shards-unreachable', RETRY_AFTER))
+        actions: list[Action] = []
+        for group in self._groups:
+            actions.extend(self._ask(group, now))
+        return self._settle(actions, now)
+
+    def on_acknowledged(self, attempt_id: int, now: Instant) -> list[Action]:
+        """Note that an aggregator has taken a group."""
+        group = self._group_by_attempt.get(attempt_id)
+        if group is not None and group.attempt_id == attempt_id:
+            group.is_acknowledged = True
+            group.may_have_run = True
+            group.wake_at = max(self._cutoff_of_group, now) + _OVERDUE
+        return self._settle([], now)
+
+    def on_reply(
+        self, attempt_id: int, reply: UpstreamReply, now: Instant
+    ) -> list[Action]:
+        """Take the reply of an aggregator, or of one shard."""
+        group = self._group_by_attempt.get(attempt_id)
+        if group is None:
+            return self._settle(
+                self._pass_on_reply(attempt_id, reply, now), now
+            )
+        if group.is_over:
+            return []
+        if reply.merged is not None:
+            # It may come from an aggregator that was taken for lost.
+            self._finish(group, reply.merged)
+            self._learn(reply.merged, now)
+            return self._settle([], now)
+        if group.attempt_id != attempt_id:
+            return []
+        return self._settle(self._replace(group, 'refused', now), now)
+
+    def on_failure(
+        self, attempt_id: int, kind: FailureKind, now: Instant
+    ) -> list[Action]:
+        """Take the end of a send without a reply."""
+        group = self._group_by_attempt.get(attempt_id)
+        if group is None:
+            group = self._group_by_send[attempt_id]
+            if group.is_over:
+                return []
+            found = group.direct.on_failure(attempt_id, kind, now)
+            return self._settle(self._absorb(group, found, now), now)
+        if group.is_over or group.attempt_id != attempt_id:
+            return []
+        if kind is not FailureKind.not_sent:
+            group.may_have_run = True
+        return self._settle(self._replace(group, kind.value, now), now)
+
+    def on_time(self, now: Instant) -> list[Action]:
+        """Replace silent aggregators, drive own sends, cut off or give up."""
+        actions: list[Action] = []
+        for group in list(self._groups):
+            if group.is_over or group.wake_at > now:
+                continue
+            if group.direct is not None:
+                found = group.direct.on_time(now)
+                actions.extend(self._absorb(group, found, now))
+            else:
+                actions.extend(self._replace_silent(group, now))
+        return self._settle(actions, now)
+
+    def missing_shards(self) -> dict[str, str]:
+        """Return the shards without a reply and why, for the log."""
+        missing: dict[str, str] = {}
+        for group in self._groups:
+            if group.answer is not None:
+                missing.update(group.answer.missing)
+            elif group.direct is not None:
+                missing.update(group.direct.missing_shards())
+            else:
+                missing.update(dict.fromkeys(group.shards, 'pending'))
+        return missing
+
+    @property
+    def _cutoff_of_group(self) -> Instant:
+        return self._times.cutoff - _MERGE_TIME
+
+    @property
+    def _answered(self) -> int:
+        return sum(
+            len(group.answer.digest_by_shard)
+            for group in self._groups
+            if group.answer is not None
+        )
+
+    def _ask(self, group: _Group, now: Instant) -> list[Action]:
+        """Ask the next aggregator, or the shards themselves."""
+        while group.candidates:
+            aggregator = group.candidates.pop(0)
+            if aggregator is None:
+                break
+            if aggregator.health.is_ejected(now):
+                continue
+            attempt_id = self._context.next_attempt_id()
+            group.attempt_id = attempt_id
+            group.aggregator = aggregator
+            group.is_acknowledged = False
+            group.wake_at = now + _ACK_TIMEOUT
+            self._group_by_attempt[attempt_id] = group
+            aggregator.health.begin(attempt_id, now)
+            return [
+                Send(
+                    attempt_id,
+                    aggregator,
+                    self.deadline,
+                    group.shards[0],
+                    'aggregate',
+                    Subgather(
+                        group.shards, self._cutoff_of_group, group.may_have_run
+                    ),
+                )
+            ]
+        return self._ask_directly(group, now)
+
+    def _ask_directly(self, group: _Group, now: Instant) -> list[Action]:
+        group.candidates = []
+        group.direct = GatherExchange(
+            self._request,
+            narrow_route(self._route, group.shards, self._least(group, now)),
+            self._context,
+            GatherTimes(max(self._times.cutoff, now), self._times.early_limit),
+            is_repeat=group.may_have_run,
+        )
+        return self._absorb(group, group.direct.start(now), now)
+
+    def _least(self, group: _Group, now: Instant) -> float:
+        """Return the share of a group that is waited for after the cut-off.
+
+        Before it, whatever is there at the cut-off will do.
+        """
+        if now < self._times.cutoff:
+            return 0
+        total = len(self._route.shards)
+        needed = self._route.merge.least_share * total - self._answered
+        return min(1, max(0, needed / len(group.shards)))
+
+    def _replace(
+        self, group: _Group, reason: str, now: Instant
+    ) -> list[Action]:
+        note = Note(
+            'aggregator-replaced',
+            {
+                'aggregator': group.aggregator.id,
+                'reason': reason,
+                'shards': len(group.shards),
+            },
+        )
+        return [note, *self._ask(group, now)]
+
+    def _replace_silent(self, group: _Group, now: Instant) -> list[Action]:
+        group.attempt_id = None
+        # It may have read the request all the same.
+        group.may_have_run = True
+        group.aggregator.health.eject(now)
+        reason = 'overdue' if group.is_acknowledged else 'silent'
+        return self._replace(group, reason, now)
+
+    def _pass_on_reply(
+        self, attempt_id: int, reply: UpstreamReply, now: Instant
+    ) -> list[Action]:
+        group = self._group_by_send[attempt_id]
+        if group.is_over:
+            return []
+        found = group.direct.on_reply(attempt_id, reply, now)
+        return self._absorb(group, found, now)
+
+    def _absorb(
+        self, group: _Group, found: list[Action], now: Instant
+    ) -> list[Action]:
+        """Take over what a direct gather asks for, and its end."""
+        kept: list[Action] = []
+        for action in found:
+            if isinstance(action, Send):
+                self._group_by_send[action.attempt_id] = group
+            if isinstance(action, Deliver):
+                self._finish(group, _as_merged(action.answer, group.shards))
+            else:
+                kept.append(action)
+        if not group.is_over:
+            group.wake_at = group.direct.wake_at
+        return kept
+
+    def _finish(self, group: _Group, answer: MergedAnswer) -> None:
+        group.is_over = True
+        if group.direct is not None:
+            group.direct.is_done = True
+        if answer.digest_by_shard:
+            group.may_have_run = True
+        group.wake_at = NEVER
+        group.answer = answer
+
+    def _learn(self, merged: MergedAnswer, now: Instant) -> None:
+        lost = [
+            service
+            for service, reason in merged.missing.items()
+            if reason == 'no-upstream'
+        ]
+        if lost:
+            self._context.directory.record_lost(lost, now)
+
+    def _settle(self, actions: list[Action], now: Instant) -> list[Action]:
+        if self.is_done:
+            return actions
+        is_settled = all(group.is_over for group in self._groups)
+        suffices = is_enough(self._route, self._answered)
+        is_cut_off = suffices and now >= self._times.cutoff
+        if is_settled and not suffices and not self._has_gone_direct:
+            # What the aggregators could not get in time is asked for once
+            # more: a late answer is better than none.
+            actions = actions + self._ask_missing(now)
+            is_settled = all(group.is_over for group in self._groups)
+            suffices = is_enough(self._route, self._answered)
+        if not is_settled and not is_cut_off and now < self._latest:
+            self._schedule(now)
+            return actions
+        if suffices:
+            return actions + self._deliver(self._merge())
+        return actions + self._deliver(self._give_up(now))
+
+    def _ask_missing(self, now: Instant) -> list[Action]:
+        self._has_gone_direct = True
+        missing = tuple(self.missing_shards())
+        if not missing or now >= self._latest:
+            return []
+        for other in self._groups:
+            other.answer = replace(other.answer, missing={})
+        may_have_run = any(_may_have_run(other) for other in self._groups)
+        group = _Group(missing, [], may_have_run=may_have_run)
+        self._groups.append(group)
+        return self._ask_directly(group, now)
+
+    def _schedule(self, now: Instant) -> None:
+        wake_at = min(group.wake_at for group in self._groups)
+        if now < self._times.cutoff:
+            wake_at = min(wake_at, self._times.cutoff)
+        self.wake_at = min(wake_at, self._latest)
+
+    def _merge(self) -> MergedAnswer:
+        answers = [
+            group.answer for group in self._groups if group.answer is not None
+        ]
+        digest_by_shard: dict[ServiceId, bytes] = {}
+        for answer in answers:
+            digest_by_shard.update(answer.digest_by_shard)
+        return MergedAnswer(
+            digest_by_shard,
+            self.missing_shards(),
+            merge_greatest(
+                (answer.body for answer in answers), self._route.merge.count
+            ),
+        )
+
+    def _give_up(self, now: Instant) -> Failure | Refusal:
+        reason = ','.join(sorted(set(self.missing_shards().values())))
+        if not any(_may_have_run(group) for group in self._groups):
+            return Refusal(reason, RETRY_AFTER)
+        return Failure(reason, now >= self._latest)
+
+    def _deliver(
+        self, answer: MergedAnswer | Failure | Refusal
+    ) -> list[Action]:
+        self.is_done = True
+        self.wake_at = NEVER
+        return [Deliver(answer)]
+
+
+def narrow_route(
+    route: Route, shards: tuple[ServiceId, ...], least_share: float
+) -> Route:
+    """Return a route over some of its shards."""
+    merge = TopRecords(route.merge.count, least_share)
+    return replace(route, shards=shards, merge=merge)
+
+
+def _as_merged(answer: Answer, shards: tuple[ServiceId, ...]) -> MergedAnswer:
+    if isinstance(answer, MergedAnswer):
+        return answer
+    return MergedAnswer({}, dict.fromkeys(shards, answer.reason), b'')
+
+
+def _may_have_run(group: _Group) -> bool:
+    is_own = group.direct is not None and group.direct.may_have_run
+    return group.may_have_run or is_own
+
+
+def _candidates(
+    group: ShardGroup, aggregators: Aggregators
+) -> list[Upstream | None]:
+    """Return the aggregators in their order; None is this VM itself."""
+    found: list[Upstream | None] = []
+    for vm in group.vms:
+        peer = aggregators.peer(vm)
+        if peer is not None or vm == aggregators.vm:
+            found.append(peer)
+    return found
--- a/src/sesametrack/vms/watchers.py
+++ b/src/sesametrack/vms/watchers.py
@@ -20,11 +20,16 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetVm:
-    """A live VM; `relay` is where it answers for the store."""
+    """A live VM.
+
+    `relay` is where it answers for the store, `peer` where it takes datagrams
+    and sub-gathers of other VMs.
+    """
 
     vm: VmId
     failure_domain: FailureDomainId
     relay: Address
+    peer: Address
 
 
 def choose_watchers(
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 
 from sesametrack.routing.budget import BudgetRule, RetryBudget
+from sesametrack.routing.shares import LimitShares
 
 _RULE = BudgetRule(0.2, 10, 6)
 _VMS = 3
@@ -42,7 +43,7 @@
     def make(self, started_at: float) -> RetryBudget:
         """Make the budget of one process."""
         budget = RetryBudget(_RULE, started_at)
-        budget.divide(_VMS)
+        budget.divide(LimitShares(_VMS))
         return budget
 
     def check(
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -7,6 +7,8 @@
 from testtools import TestCase
 
 from sesametrack.routing.budget import BudgetRule
+from sesametrack.routing.calls import CallContext
+from sesametrack.routing.desired import Route
 from sesametrack.routing.events import (
     Deliver,
     Failure,
@@ -20,6 +22,7 @@
 from sesametrack.routing.exchanges import (
     GatherExchange,
     SingleExchange,
+    gather_times,
     is_out_of_reach,
 )
 from tests.router_builders import (
@@ -99,6 +102,13 @@
             self.step('time', 0, 0.005)
 
 
+def make_gather(route: Route, context: CallContext) -> GatherExchange:
+    """Make a gather whose caller waits at this VM."""
+    request = make_request()
+    times = gather_times(request, route)
+    return GatherExchange(request, route, context, times)
+
+
 def play(exchange: object, steps: list) -> World:
     """Run an exchange through the steps and to its end."""
     world = World(exchange)
@@ -217,12 +227,15 @@
         route = make_gather_route(shards, least)
         rule = WIDE_RULE if has_budget else BudgetRule(0.2, 10, 1)
         context = make_context(make_directory(list(route.shards), 2), rule)
-        world = play(GatherExchange(make_request(), route, context), steps)
+        world = play(make_gather(route, context), steps)
         self.assertEqual(1, len(world.answers))
         answer = world.answers[0]
         if isinstance(answer, MergedAnswer):
-            parts = len(answer.digests)
-            self.assertEqual(shards, parts + answer.missing)
+            parts = len(answer.digest_by_shard)
+            self.assertEqual(
+                sorted(route.shards),
+                sorted([*answer.digest_by_shard, *answer.missing]),
+            )
             self.assertGreaterEqual(parts, 1)
             self.assertGreaterEqual(parts, least * shards - 1e-6)
         elif isinstance(answer, Refusal):
@@ -240,7 +253,7 @@
         """Start a gather over good shards."""
         route = make_gather_route(shards, least)
         context = make_context(make_directory(list(route.shards), 2))
-        exchange = GatherExchange(make_request(), route, context)
+        exchange = make_gather(route, context)
         world = World(exchange)
         world.perform(exchange.start(0))
         return world
@@ -258,7 +271,7 @@
         """All parts make a whole answer at once."""
         world = self.make_world(4, 0.75)
         self.answer_all(world)
-        self.assertEqual(0, world.answers[0].missing)
+        self.assertEqual({}, world.answers[0].missing)
 
     def test_pausing_upstream_is_hedged(self) -> None:
         """A shard without a reply is asked at its other replica."""
@@ -279,11 +292,11 @@
         """
         route = make_gather_route(4)
         directory = make_directory(list(route.shards), 1)
-        self.assertFalse(is_out_of_reach(route, directory))
+        self.assertFalse(is_out_of_reach(route, directory, 0))
         for upstream in directory.by_id.values():
             upstream.health.record_unreachable(0)
-        self.assertTrue(is_out_of_reach(route, directory))
-        self.assertFalse(is_out_of_reach(route, make_directory([], 0)))
+        self.assertTrue(is_out_of_reach(route, directory, 0))
+        self.assertFalse(is_out_of_reach(route, make_directory([], 0), 0))
 
     def test_replies_that_flow_are_not_hedged(self) -> None:
         """A VM that is still reading replies does not hedge the rest.
@@ -310,7 +323,7 @@
         world = self.make_world(4, 0.75)
         self.answer_all(world, but='s2')
         world.run_out()
-        self.assertEqual(1, world.answers[0].missing)
+        self.assertEqual(['s2'], list(world.answers[0].missing))
         self.assertLess(world.now, 0.04)
 
     def test_too_few_shards_are_refused_at_once(self) -> None:
@@ -320,8 +333,6 @@
         for upstream in directory.by_id.values():
             if upstream.record.service in {'s0', 's1'}:
                 upstream.health.record_unreachable(0)
-        exchange = GatherExchange(
-            make_request(), route, make_context(directory)
-        )
+        exchange = make_gather(route, make_context(directory))
         actions = exchange.start(0)
         self.assertIsInstance(actions[0].answer, Refusal)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,6 +1,6 @@
 """VMs that follow the store through others."""
 
-from asyncio import run, sleep
+from asyncio import create_task, run, sleep
 from random import Random
 from time import monotonic
 
@@ -10,6 +10,11 @@
 from sesametrack.links.http_client import HttpConnection
 from sesametrack.platform.follower import RELAY_MAX_AGE, Follower
 from sesametrack.platform.relay import Relay
+from sesametrack.platform.store import (
+    ObjectMeta,
+    StoreConnection,
+    StoreObject,
+)
 from sesametrack.vms.watchers import (
     WATCHERS,
     FleetVm,
@@ -30,7 +35,10 @@
     """Make VMs of one failure domain."""
     return [
         FleetVm(
-            f'vm-{number}', 'north', f'{_HOST}:{_FIRST_RELAY_PORT + number}'
+            f'vm-{number}',
+            'north',
+            f'{_HOST}:{_FIRST_RELAY_PORT + number}',
+            f'{_HOST}:1',
         )
         for number in range(size)
     ]
@@ -300,3 +308,31 @@
             rest = [one for one in fleet if one is not gone]
             after = {one.vm for one in choose_watchers(rest, 'north')}
             self.assertLessEqual(len(before - after), 1)
+
+
+class RelayStartTest(TestCase):
+    """A relay that has just started keeps those that ask waiting."""
+
+    def test_first_list(self) -> None:
+        """A list that is asked for too early is answered once it is there.
+
+        Pattern: a fleet that starts at once, where all VMs ask a relay before
+        it has heard of the store, and then all turn to the store.
+        """
+        run(self.ask_early())
+
+    async def ask_early(self) -> None:
+        """Ask a relay that learns its objects a moment later."""
+        relay = Relay(f'{_HOST}:{_FIRST_RELAY_PORT}', monotonic, 2)
+        await relay.start()
+        connection = StoreConnection(f'{_HOST}:{_FIRST_RELAY_PORT}')
+        try:
+            asked = create_task(connection.list_objects('config'))
+            await sleep(0.1)
+            found = [StoreObject(ObjectMeta('main', 3), {})]
+            relay.keep_list('config', found, 7)
+            relay.heard_store()
+            self.assertEqual((found, 7), await asked)
+        finally:
+            connection.close()
+            await relay.close()
--- /dev/null
+++ b/tests/test_subgathers.py
@@ -0,0 +1,73 @@
+"""Sub-gathers between VMs on the wire."""
+
+from testtools import TestCase
+
+from sesametrack.contracts.exceptions import ProtocolError
+from sesametrack.links.caller_server import IncomingRequest
+from sesametrack.links.subgathers import (
+    build_subgather,
+    read_subgather,
+    read_subgather_reply,
+    refuse_subgather,
+    write_subgather,
+)
+from sesametrack.routing.events import (
+    MergedAnswer,
+    Refusal,
+    ReplyKind,
+    Send,
+    Subgather,
+)
+from tests.router_builders import make_gather_route, make_request
+
+
+class SubgathersTest(TestCase):
+    """What is written is what is read."""
+
+    def test_request(self) -> None:
+        """The request and its times arrive as they were sent."""
+        route = make_gather_route(9)
+        request = make_request(arrived_at=10, left=0.3)
+        send = Send(
+            1,
+            None,
+            10.3,
+            's0',
+            'aggregate',
+            Subgather(('s1', 's2'), 10.03, True),
+        )
+        out = build_subgather(request, route, send, lambda: 10.01)
+        incoming = IncomingRequest(
+            out.method, out.target, out.headers, out.body, 500
+        )
+        read, narrowed, times, may_have_run = read_subgather(incoming)
+        self.assertEqual(
+            (request.id, request.method, request.path, request.body),
+            (read.id, read.method, read.path, read.body),
+        )
+        self.assertAlmostEqual(0.29, read.left)
+        self.assertEqual(('s1', 's2'), narrowed.shards)
+        self.assertEqual(route.max_attempts, narrowed.max_attempts)
+        self.assertAlmostEqual(500.02, times.cutoff)
+        # A target and a half after the caller's request came.
+        self.assertAlmostEqual(500.05, times.early_limit)
+        self.assertTrue(may_have_run)
+
+    def test_reply(self) -> None:
+        """Digests, records and reasons arrive as they were sent."""
+        merged = MergedAnswer({'s1': b'd1'}, {'s2': 'pending'}, b'r' * 16)
+        out = write_subgather(merged, ('s1', 's2'))
+        reply = read_subgather_reply(out.status, out.headers, out.body)
+        self.assertEqual(merged, reply.merged)
+        refused = write_subgather(Refusal('no-upstream', 1), ('s1',))
+        reply = read_subgather_reply(200, refused.headers, refused.body)
+        self.assertEqual({'s1': 'no-upstream'}, reply.merged.missing)
+
+    def test_refusal_and_junk(self) -> None:
+        """A VM that leaves says so; what cannot be read is no reply."""
+        out = refuse_subgather('not-ready')
+        reply = read_subgather_reply(out.status, out.headers, out.body)
+        self.assertIs(ReplyKind.rejected, reply.kind)
+        self.assertIsNone(read_subgather_reply(200, [], b'\xc1'))
+        junk = IncomingRequest(b'POST', b'/', [], b'\xc1', 0)
+        self.assertRaises(ProtocolError, read_subgather, junk)
--- a/tests/test_upstream_health.py
+++ b/tests/test_upstream_health.py
@@ -8,6 +8,7 @@
 from sesametrack.routing.health import UpstreamHealth
 from sesametrack.routing.pacing import ColdPacer
 from sesametrack.routing.selection import Selector
+from sesametrack.routing.shares import LimitShares
 from tests.router_builders import make_directory, make_record
 
 _USUAL = 0.01
@@ -125,7 +126,7 @@
         sent = []
         for pacer in pacers:
             pacer.configure({'s': ServiceSpec('s', 25, 3, rate)})
-            pacer.divide(vms)
+            pacer.divide(LimitShares(vms))
         for step in range(3000):
             now = step / 1000
             for pacer in pacers:
--- a/tests/test_upstream_http.py
+++ b/tests/test_upstream_http.py
@@ -28,11 +28,13 @@
         """Connect and send."""
         self.replies = []
         self.ends = []
+        self.interims = []
         self.connection = UpstreamConnection(
             int,
             lambda connection: None,
             lambda connection, reply: self.replies.append(reply),
             lambda connection, why: self.ends.append(why),
+            lambda connection: self.interims.append(connection),
         )
         self.transport = FakeTransport(self.connection)
         self.send()
--- a/tests/test_wire_headers.py
+++ b/tests/test_wire_headers.py
@@ -111,7 +111,9 @@
 
     def test_merged(self) -> None:
         """A merged answer names its parts and how many are missing."""
-        answer = write_answer(MergedAnswer((b'd1', b'd2'), 1, b'rec'), 'a')
+        answer = write_answer(
+            MergedAnswer({'a': b'd1', 'b': b'd2'}, {'c': 'late'}, b'rec'), 'a'
+        )
         by_name = dict(answer.headers)
         self.assertEqual(b'd1, d2', by_name[b'part-stamps'])
         self.assertEqual(b'1', by_name[b'missing-parts'])
