Do not ask for shards again whose aggregator was lost at work

Change: such a group is missing; one whose aggregator acknowledged nothing goes to one upstream less from then on.

--- a/src/sesametrack/routing/wide_gather.py
+++ b/src/sesametrack/routing/wide_gather.py
@@ -47,10 +47,13 @@
 # From the cut-off of an aggregator to that of the gather: its reply, and the
 # reading of all replies.
 _MERGE_TIME: Seconds = 0.006
-# An acknowledged aggregator is overdue so long after its own cut-off.
-_OVERDUE: Seconds = 0.03
+# An acknowledged aggregator counts as lost so long after its own cut-off. The
+# gather is late by then, and nothing else may be asked in its place.
+_OVERDUE: Seconds = 0.15
 # How often shards are asked for: in time, late, and by this VM itself.
 _MAX_ROUNDS = 3
+# Why the shards of an aggregator that was lost at work are missing.
+_LOST_GROUP = 'aggregator-lost'
 _LOST_REASONS = frozenset(('no-upstream', 'shards-unreachable'))
 # It gives up so long after its cut-off: this VM then takes its place.
 _LAST_TIME: Seconds = 0.02
@@ -69,6 +72,8 @@
     # Set while this VM sends to the shards itself.
     direct: GatherExchange | None = None
     may_have_run: bool = False
+    # Whether an aggregator may have sent to upstreams that it did not tell.
+    is_uncertain: bool = False
     # The upstreams that aggregators told that they had sent to.
     asked: dict[ServiceId, list[UpstreamId]] = field(default_factory=dict)
     answer: MergedAnswer | None = None
@@ -165,8 +170,11 @@
             return self._settle(self._absorb(group, found, now), now)
         if group.is_over or group.attempt_id != attempt_id:
             return []
+        if group.is_acknowledged:
+            return self._settle(self._lose(group, 'broken'), now)
         if kind is not FailureKind.not_sent:
             group.may_have_run = True
+            group.is_uncertain = True
         return self._settle(self._replace(group, kind.value, now), now)
 
     def on_time(self, now: Instant) -> list[Action]:
@@ -253,13 +261,11 @@
     def _attempts_left(self, group: _Group) -> int:
         """Return to how many upstreams a shard's request may still go.
 
-        A lost aggregator is likely to have sent it to one; what one has told
-        of is counted by name.
+        An aggregator that acknowledged nothing may have sent it to one before
+        it was told to stop; what one has told of is counted by name.
         """
         attempts = self._route.max_attempts
-        if group.may_have_run and not group.asked:
-            return max(1, attempts - 1)
-        return attempts
+        return max(1, attempts - 1) if group.is_uncertain else attempts
 
     def _least(self, group: _Group, now: Instant) -> float:
         """Return the share of a group that is waited for after the cut-off.
@@ -275,24 +281,38 @@
     def _replace(
         self, group: _Group, reason: str, now: Instant
     ) -> list[Action]:
-        note = Note(
-            'aggregator-replaced',
+        note = self._note('aggregator-replaced', group, reason)
+        return [note, *self._ask(group, now)]
+
+    def _note(self, event: str, group: _Group, reason: str) -> Note:
+        return Note(
+            event,
             {
                 'aggregator': group.aggregator.id,
                 'reason': reason,
                 'shards': len(group.shards),
             },
         )
-        return [note, *self._ask(group, now)]
 
     def _replace_silent(self, group: _Group, now: Instant) -> list[Action]:
-        # It may have read the request all the same.
-        group.may_have_run = True
         group.aggregator.health.record_silence(now)
-        reason = 'overdue' if group.is_acknowledged else 'silent'
         abandon = Abandon(group.attempt_id)
         group.attempt_id = None
-        return [abandon, *self._replace(group, reason, now)]
+        if group.is_acknowledged:
+            return [abandon, *self._lose(group, 'overdue')]
+        # It may have read the request all the same.
+        group.may_have_run = True
+        group.is_uncertain = True
+        return [abandon, *self._replace(group, 'silent', now)]
+
+    def _lose(self, group: _Group, reason: str) -> list[Action]:
+        """End a group whose aggregator was lost at work.
+
+        It may have sent to as many upstreams as the route allows.
+        """
+        missing = dict.fromkeys(group.shards, _LOST_GROUP)
+        self._finish(group, MergedAnswer({}, missing, b''))
+        return [self._note('aggregator-lost', group, reason)]
 
     def _pass_on_reply(
         self, attempt_id: int, reply: UpstreamReply, now: Instant
@@ -367,12 +387,13 @@
         if now >= self._latest:
             return actions
         for other in list(self._groups):
-            if not other.answer.missing:
+            if not set(other.answer.missing.values()) - {_LOST_GROUP}:
                 continue
             group = _Group(
                 tuple(other.answer.missing),
                 [] if self._rounds == _MAX_ROUNDS else other.candidates,
                 may_have_run=_may_have_run(other),
+                is_uncertain=other.is_uncertain,
                 asked=other.answer.asked,
             )
             other.answer = replace(other.answer, missing={}, asked={})
--- a/tests/test_wide_gather.py
+++ b/tests/test_wide_gather.py
@@ -251,6 +251,32 @@
         world.end_all('whole')
         self.assertEqual({}, world.answers[0].missing)
 
+    def test_lost_after_acknowledgement(self) -> None:
+        """Shards of an aggregator that was at work are not asked again.
+
+        Pattern: a VM is cut off or killed with a group under way. It may have
+        sent to as many upstreams as the route allows.
+        """
+        for outcome in ('lost', 'time'):
+            world = World(1)
+            remote = [send for send in world.sends if send.subgather]
+            lost = remote[0]
+            for send in remote:
+                order = sorted(world.pending).index(send.attempt_id)
+                world.step('ack', order, 0)
+            if outcome == 'lost':
+                order = sorted(world.pending).index(lost.attempt_id)
+                world.step('lost', order, 0.01)
+            for attempt_id in sorted(world.pending):
+                if attempt_id != lost.attempt_id:
+                    order = sorted(world.pending).index(attempt_id)
+                    world.step('whole', order, 0)
+            before = len(world.sends)
+            world.run_out()
+            self.assertEqual(before, len(world.sends))
+            self.assertIsInstance(world.answers[0], Failure)
+            self.assertLess(world.now, world.route.timeout)
+
     def test_unreachable_shards_are_remembered(self) -> None:
         """What one aggregator could not reach is refused at once next time."""
         world = World(1)
