Keep the replies of an own group that failed for want of shards

A group that this VM asked by itself after the cut-off failed, its replies were dropped, and only the shards without a reply counted as missing. Change: a group that failed keeps what it has.

--- a/src/sesametrack/routing/exchanges.py
+++ b/src/sesametrack/routing/exchanges.py
@@ -1,7 +1,7 @@
 """One caller's request from its arrival to its one answer."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from types import MappingProxyType
 from typing import Protocol
 
@@ -431,10 +431,14 @@
 
 
 def as_merged(answer: Answer, exchange: GatherExchange) -> MergedAnswer:
-    """Return a gather's answer as what it got, which may be nothing."""
+    """Return a gather's answer as what it got, which may be nothing.
+
+    One that failed for want of shards has the replies of the others.
+    """
     if isinstance(answer, MergedAnswer):
         return answer
-    missing = exchange.missing_shards()
+    gathered = exchange.gathered()
     if isinstance(answer, Refusal):
-        missing = dict.fromkeys(missing, answer.reason)
-    return MergedAnswer({}, missing, b'', exchange.asked_upstreams())
+        missing = dict.fromkeys(gathered.missing, answer.reason)
+        return replace(gathered, missing=missing)
+    return gathered
