--- a/bench/soak.py
+++ b/bench/soak.py
@@ -432,7 +432,8 @@
         total = sum(self._after.values())
         self.findings.check(
             served >= total * _LEAST_SERVED_AFTER,
-            f'{served} of {total} served after all faults had ended',
+            f'{served} of {total} served after all faults had ended: '
+            f'{dict(self._after)}',
         )
 
     async def _close(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,8 @@
 """A short seeded run of the fault soak, and the seeds that once failed."""
 
 from pathlib import Path
-from tempfile import TemporaryDirectory
+from shutil import rmtree
+from tempfile import mkdtemp
 
 from testtools import TestCase
 
@@ -16,6 +17,7 @@
 
     def test_short_run(self) -> None:
         """One seed, some seconds of faults."""
-        with TemporaryDirectory() as folder:
-            findings = play_soak(7, _SECONDS, _VMS, Path(folder), '127.1.7.1')
-        self.assertEqual([], findings.broken)
+        folder = mkdtemp(prefix='soak-7-')
+        findings = play_soak(7, _SECONDS, _VMS, Path(folder), '127.1.7.1')
+        self.assertEqual([], findings.broken, f'logs are kept in {folder}')
+        rmtree(folder)
