Log how late a VM handles events, and the age of a sub-gather at its aggregator

The lines so far can't distinguish why an aggregator is replaced as silent: its own VM may be late, the VM that waits may be late, or the request may never have been written. Nothing shows how many attempts were left either.

Added, without a change of any decision: - timer-late with lag_ms, from 20 ms on, and the histogram timers.lag; - aggregator-replaced and aggregator-lost: attempts_left, age_ms, waited_ms and since_written_ms (absent if the request was never written); - answered on an aggregator: sent_at_age_ms, queued_ms, max_attempts.

PoolOwner.on_written reports the write of a request.

--- a/src/sesametrack/links/subgathers.py
+++ b/src/sesametrack/links/subgathers.py
@@ -8,7 +8,12 @@
 
 from sesametrack.contracts.exceptions import ProtocolError
 from sesametrack.contracts.subgathers import SubgatherReply, SubgatherRequest
-from sesametrack.contracts.types import Instant, ServiceId, UpstreamId
+from sesametrack.contracts.types import (
+    Instant,
+    Seconds,
+    ServiceId,
+    UpstreamId,
+)
 from sesametrack.links.caller_server import IncomingRequest, OutgoingResponse
 from sesametrack.links.upstream_http import OutgoingRequest
 from sesametrack.routing.desired_state import Route, TopKMerge
@@ -83,6 +88,8 @@
     deadlines: GatherDeadlines
     may_have_run: bool
     tried_by_shard: dict[ServiceId, list[UpstreamId]]
+    # Time from the arrival of the caller's request to the sending of this one.
+    age_when_sent: Seconds
 
 
 def decode_subgather_request(incoming: IncomingRequest) -> IncomingSubgather:
@@ -121,7 +128,12 @@
         min(early_send_deadline, arrived_at + message.left),
     )
     return IncomingSubgather(
-        request, route, deadlines, message.may_have_run, message.asked
+        request,
+        route,
+        deadlines,
+        message.may_have_run,
+        message.asked,
+        message.age,
     )
 
 
--- a/src/sesametrack/links/upstream_pool.py
+++ b/src/sesametrack/links/upstream_pool.py
@@ -42,6 +42,9 @@
     def on_reply(self, attempt_id: int, reply: UpstreamReply) -> None:
         """Handle a complete reply."""
 
+    def on_written(self, attempt_id: int) -> None:
+        """Handle a request that has been written to a connection."""
+
     def on_interim(self, attempt_id: int) -> None:
         """Handle an interim response."""
 
@@ -211,6 +214,7 @@
         connection.send(
             pending.attempt_id, pending.build_request(), pending.read_reply
         )
+        self._owner.on_written(pending.attempt_id)
 
     def _handle_idle(self, connection: UpstreamConnection) -> None:
         self._connections.add(connection)
--- a/src/sesametrack/programs/active_requests.py
+++ b/src/sesametrack/programs/active_requests.py
@@ -2,7 +2,7 @@
 
 from asyncio import TimerHandle
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from sesametrack.contracts.types import Instant, ServiceId
 from sesametrack.links.caller_server import CallerConnection, OutgoingResponse
@@ -38,6 +38,8 @@
     # Encodes the answer for its recipient, a caller or another VM.
     encode_answer: Callable[[Answer], OutgoingResponse]
     is_subgather: bool = False
+    # Details to log with the outcome.
+    log_details: dict[str, object] = field(default_factory=dict)
     timer: TimerHandle | None = None
     timer_at: Instant = float('inf')
     is_deferred: bool = False
--- a/src/sesametrack/programs/exchange_driver.py
+++ b/src/sesametrack/programs/exchange_driver.py
@@ -45,6 +45,9 @@
 # socket input.
 _MAX_TIMER_LAG: Seconds = 0.002
 _TIMER_DEFERRAL: Seconds = 0.0005
+# Timers later than this are logged: the process was paused, or its event loop
+# was busy for as long as an aggregator has to acknowledge a sub-gather.
+_LOGGED_TIMER_LAG: Seconds = 0.02
 # Send reasons that are too frequent to be logged for each send.
 _UNLOGGED_REASONS = frozenset(('first', 'aggregate'))
 _CLOSE_EXPIRED_INTERVAL: Seconds = 1
@@ -162,6 +165,15 @@
                 now,
             )
 
+    def on_written(self, attempt_id: int) -> None:
+        """Record when an aggregator's request was written."""
+        in_flight = self._in_flight_by_attempt.get(attempt_id)
+        if in_flight is None or not in_flight.is_subgather:
+            return
+        exchange = in_flight.active_request.exchange
+        if isinstance(exchange, WideGatherExchange):
+            exchange.on_written(attempt_id, self._now())
+
     def on_interim(self, attempt_id: int) -> None:
         """Handle an aggregator's acknowledgment of a sub-gather."""
         in_flight = self._in_flight_by_attempt.get(attempt_id)
@@ -321,7 +333,16 @@
         if active_request.exchange.is_done:
             return
         now = self._now()
-        if now - planned_at > _MAX_TIMER_LAG and not active_request.is_deferred:
+        lag = now - planned_at
+        self._metrics.time('timers.lag', lag * _MS_PER_SECOND)
+        if lag > _LOGGED_TIMER_LAG:
+            log_event(
+                _log,
+                'timer-late',
+                request_id=active_request.request.id,
+                lag_ms=round(lag * _MS_PER_SECOND, 1),
+            )
+        if lag > _MAX_TIMER_LAG and not active_request.is_deferred:
             # The event loop is behind, so replies may be waiting unread. They
             # are read first, before an upstream is treated as slow.
             active_request.is_deferred = True
@@ -417,5 +438,6 @@
             sends=active_request.sends,
             hedges=active_request.hedges,
             retries=active_request.retries,
+            **active_request.log_details,
             **details,
         )
--- a/src/sesametrack/programs/forwarder.py
+++ b/src/sesametrack/programs/forwarder.py
@@ -310,6 +310,17 @@
                 self.routes.version,
                 partial(encode_subgather_reply, exchange=exchange),
                 is_subgather=True,
+                log_details={
+                    # The time that a message takes is not included, as VMs
+                    # have no common clock.
+                    'sent_at_age_ms': round(
+                        subgather.age_when_sent * _MS_PER_SECOND, 1
+                    ),
+                    'queued_ms': round(
+                        (self._now() - incoming.arrived_at) * _MS_PER_SECOND, 1
+                    ),
+                    'max_attempts': subgather.route.max_attempts,
+                },
             )
         )
 
--- a/src/sesametrack/programs/upstream_pools.py
+++ b/src/sesametrack/programs/upstream_pools.py
@@ -120,6 +120,10 @@
         """Forward a complete reply of an upstream."""
         self._owner.on_reply(attempt_id, reply)
 
+    def on_written(self, attempt_id: int) -> None:
+        """Forward that a request was written."""
+        self._owner.on_written(attempt_id)
+
     def on_interim(self, attempt_id: int) -> None:
         """Forward an interim response."""
         self._owner.on_interim(attempt_id)
--- a/src/sesametrack/routing/wide_gather.py
+++ b/src/sesametrack/routing/wide_gather.py
@@ -60,6 +60,7 @@
 _UNREACHABLE_REASONS = frozenset(('no-upstream', 'shards-unreachable'))
 # An aggregator must stop this long after its cut-off: this VM then takes over.
 _DEADLINE_GRACE: Seconds = 0.02
+_MS_PER_SECOND = 1000
 
 
 @dataclass(slots=True)
@@ -71,6 +72,9 @@
     # Set while an aggregator works on the group.
     attempt_id: int | None = None
     aggregator: Upstream | None = None
+    sent_at: Instant = NEVER
+    # When the request was written to a connection, None if it still waits.
+    written_at: Instant | None = None
     is_acknowledged: bool = False
     # Set while this VM sends to the shards itself.
     direct: GatherExchange | None = None
@@ -133,6 +137,12 @@
             actions.extend(self._send_to_next(group, now))
         return self._answer_if_done(actions, now)
 
+    def on_written(self, attempt_id: int, now: Instant) -> None:
+        """Record that the request to an aggregator was written."""
+        group = self._group_by_attempt.get(attempt_id)
+        if group is not None and group.attempt_id == attempt_id:
+            group.written_at = now
+
     def on_acknowledged(self, attempt_id: int, now: Instant) -> list[Action]:
         """Record that an aggregator has acknowledged a group."""
         group = self._group_by_attempt.get(attempt_id)
@@ -178,7 +188,9 @@
         if group.is_finished or group.attempt_id != attempt_id:
             return []
         if group.is_acknowledged:
-            return self._answer_if_done(self._mark_lost(group, 'broken'), now)
+            return self._answer_if_done(
+                self._mark_lost(group, 'broken', now), now
+            )
         if kind is not FailureKind.not_sent:
             group.may_have_run = True
             group.may_have_unreported_sends = True
@@ -224,6 +236,8 @@
             attempt_id = self._context.next_attempt_id()
             group.attempt_id = attempt_id
             group.aggregator = aggregator
+            group.sent_at = now
+            group.written_at = None
             group.is_acknowledged = False
             group.wake_at = now + _ACK_TIMEOUT
             self._group_by_attempt[attempt_id] = group
@@ -298,31 +312,38 @@
     def _replace(
         self, group: _Group, reason: str, now: Instant
     ) -> list[Action]:
-        event = self._make_event('aggregator-replaced', group, reason)
+        event = self._make_event('aggregator-replaced', group, reason, now)
         return [event, *self._send_to_next(group, now)]
 
-    def _make_event(self, event: str, group: _Group, reason: str) -> LogEvent:
-        return LogEvent(
-            event,
-            {
-                'aggregator': group.aggregator.id,
-                'reason': reason,
-                'shards': len(group.shards),
-            },
-        )
+    def _make_event(
+        self, event: str, group: _Group, reason: str, now: Instant
+    ) -> LogEvent:
+        details = {
+            'aggregator': group.aggregator.id,
+            'reason': reason,
+            'shards': len(group.shards),
+            'attempts_left': self._attempts_left(group),
+            'age_ms': _to_ms(now - self._request.arrived_at),
+            'waited_ms': _to_ms(now - group.sent_at),
+        }
+        if group.written_at is not None:
+            details['since_written_ms'] = _to_ms(now - group.written_at)
+        return LogEvent(event, details)
 
     def _replace_silent(self, group: _Group, now: Instant) -> list[Action]:
         group.aggregator.health.record_unresponsive(now)
         cancellation = CancelSubgather(group.attempt_id)
         group.attempt_id = None
         if group.is_acknowledged:
-            return [cancellation, *self._mark_lost(group, 'overdue')]
+            return [cancellation, *self._mark_lost(group, 'overdue', now)]
         # The aggregator may have read the request without acknowledging it.
         group.may_have_run = True
         group.may_have_unreported_sends = True
         return [cancellation, *self._replace(group, 'silent', now)]
 
-    def _mark_lost(self, group: _Group, reason: str) -> list[Action]:
+    def _mark_lost(
+        self, group: _Group, reason: str, now: Instant
+    ) -> list[Action]:
         """Finish a group whose aggregator was lost after acknowledging it.
 
         The group is not retried: the aggregator may have sent to as many
@@ -330,7 +351,7 @@
         """
         missing = dict.fromkeys(group.shards, _AGGREGATOR_LOST)
         self._finish(group, MergedAnswer({}, missing, b''))
-        return [self._make_event('aggregator-lost', group, reason)]
+        return [self._make_event('aggregator-lost', group, reason, now)]
 
     def _forward_reply(
         self, attempt_id: int, reply: UpstreamReply, now: Instant
@@ -462,6 +483,10 @@
         return [Deliver(answer)]
 
 
+def _to_ms(duration: Seconds) -> float:
+    return round(duration * _MS_PER_SECOND, 1)
+
+
 def _count_replies(group: _Group) -> int:
     if group.answer is not None:
         return len(group.answer.digest_by_shard)
