Let no late VM judge the aggregators of a gather

Callers saw: partial answers and extra load, since one VM replaced all 12 to 16 aggregators of a gather as silent at one moment, while they were at work.

Cause: the 20 ms for an acknowledgement counted from the decision to send. When connections were still opening, or this VM's own timers or network link were late, they had passed before the acknowledgement could be read.

Change: the time starts with the write. If the timer is more than 5 ms late, or more than half of the aggregators seem silent at once, the VM waits once more for the same time and logs aggregators-awaited. A domain that is really lost is replaced 20 ms later for that.

--- a/src/sesametrack/routing/wide_gather.py
+++ b/src/sesametrack/routing/wide_gather.py
@@ -46,6 +46,10 @@
 # does not is stopped or disconnected. A network path inside a failure domain
 # takes less than a millisecond, opening a connection two more.
 _ACK_TIMEOUT: Seconds = 0.02
+# A timer later than this, or more than this fraction of the aggregators silent
+# at once, means that this VM may be the late one.
+_MAX_TIMER_LAG: Seconds = 0.005
+_SILENT_FRACTION = 0.5
 # Time from the cut-off of the aggregators to that of the gather, in which
 # their replies are sent and read.
 _MERGE_TIME: Seconds = 0.006
@@ -139,6 +143,7 @@
         # Attempts at aggregators are kept apart from attempts at upstreams.
         self._group_by_attempt: dict[int, _Group] = {}
         self._group_by_send: dict[int, _Group] = {}
+        self._has_awaited = False
         self._rounds = 1
         # Cut-off of the aggregators in the current round.
         self._round_cutoff = self._deadlines.cutoff - _MERGE_TIME
@@ -157,8 +162,11 @@
     def on_written(self, attempt_id: int, now: Instant) -> None:
         """Record that the request to an aggregator was written."""
         group = self._group_by_attempt.get(attempt_id)
-        if group is not None and group.attempt_id == attempt_id:
-            group.written_at = now
+        if group is None or group.attempt_id != attempt_id:
+            return
+        group.written_at = now
+        if not group.is_acknowledged:
+            group.wake_at = now + _ACK_TIMEOUT
 
     def on_acknowledged(self, attempt_id: int, now: Instant) -> list[Action]:
         """Record that an aggregator has acknowledged a group."""
@@ -221,7 +229,7 @@
 
     def on_timer(self, now: Instant) -> list[Action]:
         """Replace silent aggregators and run the timers of direct gathers."""
-        actions: list[Action] = []
+        actions = self._await_unread_acknowledgements(now)
         for group in list(self._groups):
             if group.is_finished or group.wake_at > now:
                 continue
@@ -355,6 +363,42 @@
             details['since_written_ms'] = _to_ms(now - group.written_at)
         return LogEvent(event, details)
 
+    def _await_unread_acknowledgements(self, now: Instant) -> list[Action]:
+        """Wait once more if this VM may be the late one.
+
+        Its timers may be late, or its network link may be full. Then most
+        aggregators seem silent at once, although they are at work.
+        """
+        delegated = [
+            group
+            for group in self._groups
+            if group.attempt_id is not None and not group.is_finished
+        ]
+        silent = [
+            group
+            for group in delegated
+            if group.wake_at <= now and not group.is_acknowledged
+        ]
+        if not silent or self._has_awaited:
+            return []
+        lag = now - min(group.wake_at for group in silent)
+        is_most = len(silent) > max(1, len(delegated) * _SILENT_FRACTION)
+        if lag <= _MAX_TIMER_LAG and not is_most:
+            return []
+        self._has_awaited = True
+        for group in silent:
+            group.wake_at = now + _ACK_TIMEOUT
+        return [
+            LogEvent(
+                'aggregators-awaited',
+                {
+                    'silent': len(silent),
+                    'delegated': len(delegated),
+                    'lag_ms': _to_ms(lag),
+                },
+            )
+        ]
+
     def _replace_silent(self, group: _Group, now: Instant) -> list[Action]:
         group.aggregator.health.record_unresponsive(now)
         cancellation = CancelSubgather(group.attempt_id)
