Open connections to aggregators before the first gather needs them

Change: on a change of the fleet or of the desired state the router opens a connection to each first aggregator that has none, eight at a time, as it does for upstreams.

--- a/src/sesametrack/programs/forwarder.py
+++ b/src/sesametrack/programs/forwarder.py
@@ -187,6 +187,7 @@
         self._pacer.configure(state.service_by_id)
         self._timings.retain({route.name for route in state.routes})
         self.apply_vm_count(self.vm_count)
+        self._preopen_aggregators()
 
     def preopen_connections(self) -> None:
         """Open a connection to the preferred upstream of each shard.
@@ -215,6 +216,23 @@
         ]
         self._pools.preopen([one for one in chosen if one is not None])
 
+    def _preopen_aggregators(self) -> None:
+        """Open a connection to each aggregator that has none.
+
+        Otherwise the first gather of a process would open all of them, and
+        its aggregators would seem silent meanwhile.
+        """
+        if self.routes.state is None:
+            return
+        shard_sets = {route.shards for route in self.routes.state.routes}
+        vms = {
+            group.vms[0]
+            for shards in shard_sets
+            for group in self.aggregators.groups(shards)
+        }
+        peers = [self.aggregators.peer(vm) for vm in sorted(vms)]
+        self._pools.preopen([peer for peer in peers if peer is not None])
+
     def _direct_shards(
         self, shards: tuple[ServiceId, ...]
     ) -> tuple[ServiceId, ...]:
@@ -233,6 +251,8 @@
         self._pools.remove(removed_ids)
         if is_changed or vm_count != self.vm_count:
             self.apply_vm_count(vm_count)
+        if is_changed:
+            self._preopen_aggregators()
 
     def expire_upstreams(self) -> None:
         """Remove upstreams that have been missing for too long."""
