Limit replies without end on every link that reads one

A caller or peer that went on sending during its request was read without limit.

Change: a reply of an upstream or aggregator has a limit on its head with all interim replies (64 KB), its headers (256), its body (8 MB) and all bytes; parts of bodies beyond 256 KB share 32 MB in the process; trailers are not kept. What exceeds one is no reply: the connection is reset, the attempt fails, and the upstream counts as failing. The HTTP client limits the body to 16 MB, all bytes to twice that and interim responses to 8, and fails as for bytes that are no HTTP. The server of callers and peers closes a connection in which more than one further request waits.

--- a/src/sesametrack/links/caller_server.py
+++ b/src/sesametrack/links/caller_server.py
@@ -100,9 +100,11 @@
             return
         if self._arrived_at is None and not self.is_busy:
             self._arrived_at = self._server.now()
-        if not self.is_busy:
-            self._last_activity_at = self._server.now()
         self._parser.receive_data(data)
+        if self.is_busy:
+            self._limit_pipelined_bytes()
+            return
+        self._last_activity_at = self._server.now()
         self._read_events()
 
     def eof_received(self) -> bool:
@@ -166,6 +168,17 @@
         """Close the connection immediately."""
         self._transport.abort()
 
+    def _limit_pipelined_bytes(self) -> None:
+        """Close the connection if more than one request waits in it.
+
+        Reading can't be paused instead, as the end of the connection would
+        go unnoticed.
+        """
+        limits = self._server.limits
+        waiting = len(self._parser.trailing_data[0])
+        if waiting > limits.max_header_bytes + limits.max_body_bytes:
+            self._transport.abort()
+
     def _read_events(self) -> None:
         try:
             while not self.is_busy and not self._is_lingering:
--- a/src/sesametrack/links/http_client.py
+++ b/src/sesametrack/links/http_client.py
@@ -29,6 +29,9 @@
 from sesametrack.links.socket_options import enable_dead_peer_detection
 
 _READ_SIZE = 65536
+# A listing of 24,000 upstreams takes 6 MB. The head is limited by h11.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+_MAX_INTERIM_RESPONSES = 8
 
 
 class HttpConnection:
@@ -41,6 +44,7 @@
         self._reader: StreamReader | None = None
         self._writer: StreamWriter | None = None
         self._protocol = Connection(CLIENT)
+        self._received_bytes = 0
 
     async def start(self, timeout: Seconds) -> None:
         """Connect; raises OSError, or TimeoutError after `timeout`."""
@@ -90,15 +94,15 @@
         When awaited before a request is written, it raises EOFError once the
         server closes the idle connection.
         """
-        head = await self._next_event()
-        while not isinstance(head, Response):
-            if isinstance(head, ConnectionClosed):
-                raise EOFError(f'{self._address} closed the connection')
-            head = await self._next_event()
+        self._received_bytes = 0
+        head = await self._read_head()
         body = bytearray()
         event = await self._next_event()
         while isinstance(event, Data):
             body.extend(event.data)
+            if len(body) > MAX_RESPONSE_BYTES:
+                self.abort()
+                raise ProtocolError(f'{self._address}: the body is too large')
             event = await self._next_event()
         if not isinstance(event, EndOfMessage):
             raise EOFError(f'{self._address} closed inside a response')
@@ -118,6 +122,15 @@
         self.write(request)
         return await wait_for(self.read(), timeout)
 
+    async def _read_head(self) -> Response:
+        for _ in range(_MAX_INTERIM_RESPONSES + 1):
+            head = await self._next_event()
+            if isinstance(head, Response):
+                return head
+            if isinstance(head, ConnectionClosed):
+                raise EOFError(f'{self._address} closed the connection')
+        raise ProtocolError(f'{self._address}: too many interim responses')
+
     def _start_next_cycle(self) -> None:
         states = {self._protocol.our_state, self._protocol.their_state}
         if states == {DONE}:
@@ -131,4 +144,9 @@
                 raise ProtocolError(f'{self._address}: {error}') from error
             if event is not NEED_DATA:
                 return event
-            self._protocol.receive_data(await self._reader.read(_READ_SIZE))
+            chunk = await self._reader.read(_READ_SIZE)
+            self._received_bytes += len(chunk)
+            if self._received_bytes > 2 * MAX_RESPONSE_BYTES:
+                self.abort()
+                raise ProtocolError(f'{self._address}: too many bytes')
+            self._protocol.receive_data(chunk)
--- a/src/sesametrack/links/reply_parser.py
+++ b/src/sesametrack/links/reply_parser.py
@@ -11,7 +11,15 @@
 from sesametrack.contracts.exceptions import ProtocolError
 from sesametrack.routing.events import Headers
 
-_MAX_REPLY_BYTES = 8 * 1024 * 1024
+_MAX_BODY_BYTES = 8 * 1024 * 1024
+# A reply's head, with the interim replies before it.
+_MAX_HEAD_BYTES = 64 * 1024
+_MAX_HEADERS = 256
+# Chunk headers and trailers may take as many bytes as the body.
+_MAX_REPLY_BYTES = 2 * _MAX_BODY_BYTES
+# Parts of replies beyond this size share the memory of the process.
+_SMALL_BODY_BYTES = 256 * 1024
+_MAX_SHARED_BYTES = 32 * 1024 * 1024
 _FIRST_FINAL_STATUS = 200
 
 
@@ -25,12 +33,39 @@
     is_reusable: bool
 
 
+class ReplyMemory:
+    """Limits the memory that all large, incomplete replies take together."""
+
+    def __init__(self, max_bytes: int = _MAX_SHARED_BYTES) -> None:
+        """Start with no reply."""
+        self._max_bytes = max_bytes
+        self.used_bytes = 0
+
+    def reserve(self, size: int) -> None:
+        """Take bytes; raises ProtocolError if too few are left."""
+        if self.used_bytes + size > self._max_bytes:
+            raise ProtocolError('all replies together are too large')
+        self.used_bytes += size
+
+    def release(self, size: int) -> None:
+        """Give bytes back."""
+        self.used_bytes -= size
+
+
 class ReplyParser:
-    """Parses bytes into complete replies, in their order."""
+    """Parses bytes into complete replies, in their order.
+
+    An upstream may send without end. The size of a reply is limited in the
+    head, the body and all that frames it.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, memory: ReplyMemory | None = None) -> None:
         """Create a parser for one connection."""
         self.expects_no_body = False
+        self._memory = memory or ReplyMemory()
+        self._reserved_bytes = 0
+        self._head_bytes = 0
+        self._received_bytes = 0
         self._parser = HttpResponseParser(self)
         self._headers: Headers = []
         self._body: list[bytes] = []
@@ -49,12 +84,29 @@
     def feed(self, chunk: bytes) -> list[CompleteReply]:
         """Return the replies that a chunk completes.
 
-        Raises one of PARSER_ERRORS if the bytes are no valid reply.
+        Raises one of PARSER_ERRORS if the bytes are no valid reply, or too
+        many.
         """
         self._completed = []
         self._parser.feed_data(chunk)
+        if self._completed:
+            self._head_bytes = 0
+            self._received_bytes = 0
+            return self._completed
+        self._received_bytes += len(chunk)
+        if not self._is_in_body:
+            self._head_bytes += len(chunk)
+        if self._head_bytes > _MAX_HEAD_BYTES:
+            raise ProtocolError('the head is too large')
+        if self._received_bytes > _MAX_REPLY_BYTES:
+            raise ProtocolError('the reply is too large')
         return self._completed
 
+    def close(self) -> None:
+        """Drop an incomplete reply."""
+        self._body = []
+        self._release_memory()
+
     def completed_replies(self) -> list[CompleteReply]:
         """Return the replies that were complete before `feed` failed."""
         return self._completed
@@ -85,7 +137,12 @@
         self._is_framed = False
 
     def on_header(self, name: bytes, text: bytes) -> None:
-        """Store a header."""
+        """Store a header; raises ProtocolError if there are too many."""
+        if self._is_in_body:
+            # Trailers have no use here.
+            return
+        if len(self._headers) >= _MAX_HEADERS:
+            raise ProtocolError('there are too many headers')
         lower_name = name.lower()
         self._headers.append((lower_name, text))
         if lower_name in {b'content-length', b'transfer-encoding'}:
@@ -100,8 +157,12 @@
     def on_body(self, chunk: bytes) -> None:
         """Store a part of the body; raises ProtocolError if it is too large."""
         self._size += len(chunk)
-        if self._size > _MAX_REPLY_BYTES:
-            raise ProtocolError('the reply is too large')
+        if self._size > _MAX_BODY_BYTES:
+            raise ProtocolError('the body is too large')
+        shared = max(0, self._size - _SMALL_BODY_BYTES) - self._reserved_bytes
+        if shared > 0:
+            self._memory.reserve(shared)
+            self._reserved_bytes += shared
         self._body.append(chunk)
 
     def on_message_complete(self) -> None:
@@ -112,6 +173,7 @@
     def _complete(self, *, is_reusable: bool) -> None:
         self._is_in_reply = False
         self._is_in_body = False
+        self._release_memory()
         status = self._parser.get_status_code()
         if status < _FIRST_FINAL_STATUS:
             # An interim response; the final one follows.
@@ -124,5 +186,9 @@
             )
         )
 
+    def _release_memory(self) -> None:
+        self._memory.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+
 
 PARSER_ERRORS = (HttpParserError, ProtocolError)
--- a/src/sesametrack/links/upstream_http.py
+++ b/src/sesametrack/links/upstream_http.py
@@ -9,6 +9,7 @@
 from sesametrack.links.reply_parser import (
     PARSER_ERRORS,
     CompleteReply,
+    ReplyMemory,
     ReplyParser,
 )
 from sesametrack.links.socket_options import (
@@ -61,8 +62,9 @@
         on_reply: Callable[['UpstreamConnection', UpstreamReply], None],
         on_end: Callable[['UpstreamConnection', str], None],
         on_interim: Callable[['UpstreamConnection'], None],
+        memory: ReplyMemory | None = None,
     ) -> None:
-        """Store the clock and the callbacks."""
+        """Store the clock, the callbacks and the limit of large replies."""
         self.state = ConnectionState.connecting
         self.attempt_id: int | None = None
         self.idle_since: Instant = 0
@@ -73,7 +75,7 @@
         self._on_end = on_end
         self._on_interim = on_interim
         self._transport: Transport | None = None
-        self._parser = ReplyParser()
+        self._parser = ReplyParser(memory)
         self._read_reply: ReplyReader | None = None
         self._unmatched_replies = 0
         self._why = 'closed'
@@ -141,6 +143,7 @@
         """Call `on_end` unless the connection was closed before."""
         previous_state = self.state
         self.state = ConnectionState.closed
+        self._parser.close()
         why = repr(exc) if exc is not None else self._why
         if previous_state is not ConnectionState.closed:
             self._on_end(self, why)
--- a/src/sesametrack/links/upstream_pool.py
+++ b/src/sesametrack/links/upstream_pool.py
@@ -7,6 +7,7 @@
 
 from sesametrack.contracts.settings import split_address
 from sesametrack.contracts.types import Address, Instant, Seconds
+from sesametrack.links.reply_parser import ReplyMemory
 from sesametrack.links.upstream_http import (
     ConnectionState,
     OutgoingRequest,
@@ -69,6 +70,7 @@
         owner: PoolOwner,
         loop: AbstractEventLoop,
         now: Callable[[], Instant],
+        memory: ReplyMemory | None = None,
     ) -> None:
         """Store the address and owner; connections are opened on demand."""
         self.upstream_id = upstream_id
@@ -78,6 +80,7 @@
         self._owner = owner
         self._loop = loop
         self._now = now
+        self._memory = memory
         self._idle: list[UpstreamConnection] = []
         self._connections: set[UpstreamConnection] = set()
         self._waiting: deque[PendingSend] = deque()
@@ -161,6 +164,7 @@
             self._handle_reply,
             self._handle_end,
             self._handle_interim,
+            self._memory,
         )
         try:
             async with timeout(_CONNECT_TIMEOUT):
--- a/src/sesametrack/programs/upstream_pools.py
+++ b/src/sesametrack/programs/upstream_pools.py
@@ -6,6 +6,7 @@
 from logging import getLogger
 
 from sesametrack.contracts.types import Instant, Seconds, ServiceId, UpstreamId
+from sesametrack.links.reply_parser import ReplyMemory
 from sesametrack.links.upstream_pool import PoolOwner, UpstreamPool
 from sesametrack.routing.directory import Upstream
 from sesametrack.routing.events import FailureKind, UpstreamReply
@@ -55,6 +56,7 @@
         self._metrics = metrics
         self._loop = loop
         self._now = now
+        self._reply_memory = ReplyMemory()
         self._state_by_id: dict[UpstreamId, _PoolState] = {}
 
     def close(self) -> None:
@@ -82,6 +84,7 @@
                 self,
                 self._loop,
                 self._now,
+                self._reply_memory,
             )
             state = _PoolState(upstream, pool)
             self._state_by_id[upstream.id] = state
