Give groups of a wide gather to relays last

Change: in a domain with enough other VMs, the two that relay the store's objects are no first aggregators. They stay second ones, and take callers as before.

Evidence: test_wide_gather.GroupsTest.test_relays_come_last (fails before).

--- a/src/sesametrack/routing/aggregators.py
+++ b/src/sesametrack/routing/aggregators.py
@@ -23,7 +23,7 @@
 )
 from sesametrack.routing.directory import Upstream, UpstreamRecord
 from sesametrack.routing.shares import RANK_FRACTIONS, LimitShares
-from sesametrack.vms.watchers import FleetVm
+from sesametrack.vms.watchers import FleetVm, rank_watchers
 
 # With fewer shards, or VMs in the failure domain, a VM sends directly.
 MIN_SHARDS = 40
@@ -51,13 +51,17 @@
 
     Each group has the VMs that rank highest for it by rendezvous hashing
     among those with the fewest groups, so that few groups move when a VM
-    joins or leaves.
+    joins or leaves. The VMs that relay the store's objects come last, as
+    bursts of changes make them late.
     """
     vm_ids = sorted(vms)
     group_count = min(
         len(vm_ids), max(1, round(sqrt(_GROUP_COUNT_FACTOR * len(shards))))
     )
     group_count_by_vm = dict.fromkeys(vm_ids, 0)
+    watchers = rank_watchers(vm_ids)
+    if group_count + len(watchers) <= len(vm_ids):
+        group_count_by_vm.update(dict.fromkeys(watchers, 1))
     groups = []
     for index in range(group_count):
         shards_of_group = shards[index::group_count]
--- a/src/sesametrack/vms/watchers.py
+++ b/src/sesametrack/vms/watchers.py
@@ -1,5 +1,6 @@
 """Choice of the VMs that watch the store and relay it to the others."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from xxhash import xxh3_64_intdigest
@@ -39,16 +40,23 @@
 def choose_watchers(
     vms: list[FleetVm], domain: FailureDomainId
 ) -> list[FleetVm]:
-    """Return the watchers of a failure domain, the same on every VM.
+    """Return the watchers of a failure domain, the same on every VM."""
+    vm_by_id = {
+        fleet_vm.vm: fleet_vm
+        for fleet_vm in vms
+        if fleet_vm.failure_domain == domain
+    }
+    return [vm_by_id[vm_id] for vm_id in rank_watchers(vm_by_id)]
+
+
+def rank_watchers(vm_ids: Iterable[VmId]) -> list[VmId]:
+    """Return which VMs of a failure domain are its watchers.
 
     VMs are ranked by a hash of their id, so that at most one watcher changes
     when a VM is added or removed.
     """
-    local_vms = [
-        fleet_vm for fleet_vm in vms if fleet_vm.failure_domain == domain
-    ]
-    local_vms.sort(key=lambda fleet_vm: xxh3_64_intdigest(fleet_vm.vm.encode()))
-    return local_vms[:WATCHERS_PER_DOMAIN]
+    ranked = sorted(vm_ids, key=lambda vm_id: xxh3_64_intdigest(vm_id.encode()))
+    return ranked[:WATCHERS_PER_DOMAIN]
 
 
 class StoreSources:
--- a/tests/test_wide_gather.py
+++ b/tests/test_wide_gather.py
@@ -21,7 +21,7 @@
     UpstreamReply,
 )
 from sesametrack.routing.wide_gather import WideGatherExchange
-from sesametrack.vms.watchers import FleetVm
+from sesametrack.vms.watchers import FleetVm, rank_watchers
 from tests.router_builders import (
     make_context,
     make_directory,
@@ -432,6 +432,20 @@
         self.assertEqual(len(first), len(set(first)))
         self.assertTrue(all(len(set(group.vms)) == 2 for group in groups))
 
+    def test_relays_come_last(self) -> None:
+        """VMs that relay the store's objects get no group if others can.
+
+        Failure: relays were late whenever many upstreams changed, and each
+        gather waited for them.
+        """
+        names = tuple(f's{number}' for number in range(90))
+        vms = [f'vm-{number}' for number in range(22)]
+        watchers = set(rank_watchers(vms))
+        first = {group.vms[0] for group in divide_shards(names, vms)}
+        self.assertEqual(set(), first & watchers)
+        few = divide_shards(names, vms[:6])
+        self.assertEqual(6, len({group.vms[0] for group in few}))
+
     def test_small_fleets_and_gathers_send_directly(self) -> None:
         """Gathers over few shards or among few VMs have no aggregators."""
         wide = tuple(f's{number}' for number in range(90))
