Don't write a queued request after its deadline

Cause: a send that waits for a connection was written when one became free, however late, with at least 1 ms as its time. The check for overdue sends looked for its connection, found none, and never looked again.

Change: a queued request has its deadline. Once it has passed, it ends as not sent, which costs no attempt and no budget; so does an overdue one.

--- a/src/sesametrack/links/upstream_pool.py
+++ b/src/sesametrack/links/upstream_pool.py
@@ -24,6 +24,8 @@
 # way, so one that must not be repeated has a larger safety margin.
 _REPEATABLE_IDLE_FRACTION = 0.85
 _UNREPEATABLE_IDLE_FRACTION = 0.4
+# Reason reported for requests that waited for a connection for too long.
+_EXPIRED = 'deadline'
 
 
 @dataclass(slots=True)
@@ -35,6 +37,8 @@
     build_request: Callable[[], OutgoingRequest]
     read_reply: ReplyReader
     is_repeatable: bool
+    # The request is not written after this instant.
+    deadline: Instant
 
 
 class PoolOwner:
@@ -118,7 +122,10 @@
         return False
 
     def abort(self, attempt_id: int, why: str) -> None:
-        """Close the connection that an attempt uses."""
+        """Close the connection that an attempt uses, or withdraw it."""
+        if self.cancel_waiting(attempt_id):
+            self._owner.on_failure(attempt_id, FailureKind.not_sent, why)
+            return
         for connection in self._connections:
             if connection.attempt_id == attempt_id:
                 connection.abort(why)
@@ -189,6 +196,18 @@
                 pending.attempt_id, FailureKind.not_sent, why
             )
 
+    def _fail_expired(self) -> None:
+        """Fail the queued requests whose deadlines have passed."""
+        now = self._now()
+        expired = [
+            pending for pending in self._waiting if pending.deadline <= now
+        ]
+        for pending in expired:
+            if self.cancel_waiting(pending.attempt_id):
+                self._owner.on_failure(
+                    pending.attempt_id, FailureKind.not_sent, _EXPIRED
+                )
+
     def _pop_idle_connection(
         self, pending: PendingSend
     ) -> UpstreamConnection | None:
@@ -224,7 +243,10 @@
         self._connections.add(connection)
         if self._is_closed:
             connection.abort('retired')
-        elif self._waiting:
+            return
+        self._fail_expired()
+        # The failures may have led to a send on this connection's pool.
+        if self._waiting:
             self._write(connection, self._waiting.popleft())
         else:
             self._idle.append(connection)
--- a/src/sesametrack/programs/exchange_driver.py
+++ b/src/sesametrack/programs/exchange_driver.py
@@ -222,7 +222,7 @@
             return
         now = self._now()
         self._record_failure(in_flight, attempt_id, f'{kind.value}: {why}', now)
-        if why == REPLY_OVERDUE:
+        if why == REPLY_OVERDUE and kind is FailureKind.broken:
             in_flight.upstream.health.record_unreachable(now)
             self.pools.probe(in_flight.upstream.id)
         active_request = in_flight.active_request
--- a/src/sesametrack/programs/pending_sends.py
+++ b/src/sesametrack/programs/pending_sends.py
@@ -41,6 +41,7 @@
             ),
             decode_subgather_reply,
             is_repeatable=True,
+            deadline=send.deadline,
         )
     return PendingSend(
         send.attempt_id,
@@ -53,4 +54,5 @@
         ),
         partial(parse_upstream_reply, request.id.encode('latin-1')),
         active_request.route.is_repeatable,
+        send.deadline,
     )
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -41,7 +41,7 @@
 from standins.searcher import SearcherStandin
 from tests.test_router_path import CallerResponse
 
-_HOST = '127.1.6.1'
+_HOST = '127.1.9.1'
 _PORT = 9600
 _ADDRESS = f'{_HOST}:{_PORT}'
 _READ_LIMIT_BYTES = 40 * 1024 * 1024
@@ -96,7 +96,11 @@
         )
         request = OutgoingRequest(b'GET', b'/', [(b'host', b'h')], b'')
         try:
-            pool.send(PendingSend(1, lambda: request, read_reply, True))
+            pool.send(
+                PendingSend(
+                    1, lambda: request, read_reply, True, monotonic() + 9
+                )
+            )
             await wait_for_any(owner.failures)
             await server.wait_until_closed(1)
         finally:
