Count no time without observations as silence of other VMs

FleetCount dropped a VM whose heartbeat had not changed for four intervals of its own clock. After a store outage that long (40 s in small fleets), or its own pause, a VM that listed first saw the old heartbeats of all others and counted itself only. It then took the whole of each limit on upstreams and budgets for an interval.

Change: a gap of more than 1.5 intervals between observations doesn't count.

Same class, left open: shares of limits assume that VMs see the same fleet; a process that has not listed the fleet yet assumes 16 VMs; a gate that takes over an upstream waits one second for the former owner.

--- a/src/sesametrack/vms/fleet_count.py
+++ b/src/sesametrack/vms/fleet_count.py
@@ -11,19 +11,24 @@
 # store may serve for longer; the reserve of the shares covers that.
 _LIVE_INTERVALS = 4
 _REMOVAL_INTERVALS = 12
+# Observations are up to 1.25 intervals apart. After a longer gap this VM was
+# paused, or the store was unavailable, probably for other VMs too.
+_MAX_GAP_INTERVALS = 1.5
 
 
 class FleetCount:
     """Counts the VMs whose heartbeat has changed recently.
 
     The age of an entry starts when it is first observed, so a new VM counts
-    all existing entries at first.
+    all existing entries at first. Time in which this VM observed nothing does
+    not count.
     """
 
     def __init__(self, vm: VmId) -> None:
         """Count only this VM, which is always included."""
         self._vm = vm
         self._heartbeat_by_vm: dict[VmId, tuple[int, Instant]] = {}
+        self._observed_at: Instant | None = None
         self.live: set[VmId] = {vm}
         self.has_heartbeats = False
 
@@ -45,11 +50,15 @@
     ) -> list[VmId]:
         """Apply all heartbeats; return the VMs whose entries to remove."""
         self.has_heartbeats = True
+        unobserved_time = self._unobserved_time(now)
         updated: dict[VmId, tuple[int, Instant]] = {}
         for vm, heartbeat in heartbeat_by_vm.items():
-            previous = self._heartbeat_by_vm.get(vm)
-            is_unchanged = previous is not None and previous[0] == heartbeat
-            updated[vm] = previous if is_unchanged else (heartbeat, now)
+            changed_at = now
+            if vm in self._heartbeat_by_vm:
+                previous, previous_change = self._heartbeat_by_vm[vm]
+                if previous == heartbeat:
+                    changed_at = previous_change + unobserved_time
+            updated[vm] = (heartbeat, changed_at)
         self._heartbeat_by_vm = updated
         self.live = {self._vm} | {
             vm
@@ -62,3 +71,13 @@
             if vm != self._vm
             and now - changed_at >= self.interval * _REMOVAL_INTERVALS
         ]
+
+    def _unobserved_time(self, now: Instant) -> Seconds:
+        """Return the time without observations since the last one."""
+        previous, self._observed_at = self._observed_at, now
+        if previous is None:
+            return 0
+        gap = now - previous
+        if gap <= self.interval * _MAX_GAP_INTERVALS:
+            return 0
+        return gap - self.interval
