Move the state of a delegated group out of the wide gather

One fault was found in doing so: a group that this VM takes over after a refusal kept the id of its last attempt at an aggregator, and would have counted as a silent one; it is cleared now.

Tests of wide gathers, late VMs, the fleet model and mutations pass.

--- a/src/sesametrack/routing/wide_gather.py
+++ b/src/sesametrack/routing/wide_gather.py
@@ -1,20 +1,17 @@
 """Gathers over many shards, most of which are delegated to aggregators."""
 
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from sesametrack.contracts.types import (
     Instant,
     Seconds,
     ServiceId,
-    UpstreamId,
 )
 from sesametrack.routing.aggregators import Aggregators, ShardGroup
 from sesametrack.routing.calls import CallContext
 from sesametrack.routing.desired_state import Route, TopKMerge
-from sesametrack.routing.directory import Upstream
 from sesametrack.routing.events import (
     Action,
-    AttemptLimit,
     CallerRequest,
     CancelSubgather,
     Deliver,
@@ -41,11 +38,13 @@
     to_merged_answer,
 )
 from sesametrack.routing.merge import merge_top_records
+from sesametrack.routing.shard_groups import (
+    ACK_TIMEOUT,
+    GroupGather,
+    make_group,
+    to_ms,
+)
 
-# An aggregator acknowledges a sub-gather before it starts any work; one that
-# does not is stopped or disconnected. A network path inside a failure domain
-# takes less than a millisecond, opening a connection two more.
-_ACK_TIMEOUT: Seconds = 0.02
 # A timer later than this, or more than this fraction of the aggregators silent
 # at once, means that this VM may be the late one.
 _MAX_TIMER_LAG: Seconds = 0.005
@@ -70,39 +69,6 @@
 _UNREACHABLE_REASONS = frozenset(('no-upstream', 'shards-unreachable'))
 # An aggregator must stop this long after its cut-off: this VM then takes over.
 _DEADLINE_GRACE: Seconds = 0.02
-_MS_PER_SECOND = 1000
-
-
-@dataclass(slots=True)
-class _Group:
-    """Shards that one aggregator, or this VM itself, gathers."""
-
-    shards: tuple[ServiceId, ...]
-    candidates: list[Upstream | None]
-    # Set while an aggregator works on the group.
-    attempt_id: int | None = None
-    aggregator: Upstream | None = None
-    # The attempts that the aggregator got with its request.
-    granted_attempts: int = 0
-    sent_at: Instant = NEVER
-    # When the request was written to a connection, None if it still waits.
-    written_at: Instant | None = None
-    is_acknowledged: bool = False
-    # Set while this VM sends to the shards itself.
-    direct: GatherExchange | None = None
-    may_have_run: bool = False
-    # Whether the aggregator has been cancelled, as it was silent.
-    is_cancelled: bool = False
-    # The upstreams of each shard that lost aggregators may have sent to
-    # without reporting them.
-    unreported_attempts: int = 0
-    # The upstreams that aggregators reported to have sent to.
-    tried_by_shard: dict[ServiceId, list[UpstreamId]] = field(
-        default_factory=dict
-    )
-    answer: MergedAnswer | None = None
-    is_finished: bool = False
-    wake_at: Instant = NEVER
 
 
 class WideGatherExchange:
@@ -137,12 +103,12 @@
         self._answer_deadline = self.deadline - ANSWER_RESERVE
         self._deadlines = gather_deadlines(request, route)
         self._groups = [
-            _Group(group.shards, _candidates(group, aggregators))
+            make_group(group, aggregators, route.max_attempts)
             for group in groups
         ]
         # Attempts at aggregators are kept apart from attempts at upstreams.
-        self._group_by_attempt: dict[int, _Group] = {}
-        self._group_by_send: dict[int, _Group] = {}
+        self._group_by_attempt: dict[int, GroupGather] = {}
+        self._group_by_send: dict[int, GroupGather] = {}
         self._has_awaited = False
         self._rounds = 1
         # Cut-off of the aggregators in the current round.
@@ -162,11 +128,8 @@
     def on_written(self, attempt_id: int, now: Instant) -> None:
         """Record that the request to an aggregator was written."""
         group = self._group_by_attempt.get(attempt_id)
-        if group is None or group.attempt_id != attempt_id:
-            return
-        group.written_at = now
-        if not group.is_acknowledged:
-            group.wake_at = now + _ACK_TIMEOUT
+        if group is not None and group.attempt_id == attempt_id:
+            group.record_written(now)
 
     def on_acknowledged(self, attempt_id: int, now: Instant) -> list[Action]:
         """Record that an aggregator has acknowledged a group."""
@@ -174,12 +137,11 @@
         if group is None or group.attempt_id != attempt_id:
             return self._answer_if_done([], now)
         actions: list[Action] = []
-        max_attempts = self._attempts_left(group)
-        if not group.is_acknowledged and max_attempts > group.granted_attempts:
+        max_attempts = group.record_acknowledged(
+            max(self._round_cutoff, now) + _REPLY_GRACE
+        )
+        if max_attempts:
             actions.append(GrantAttempts(attempt_id, max_attempts))
-        group.is_acknowledged = True
-        group.may_have_run = True
-        group.wake_at = max(self._round_cutoff, now) + _REPLY_GRACE
         return self._answer_if_done(actions, now)
 
     def on_reply(
@@ -194,7 +156,7 @@
         if group.is_finished or group.attempt_id != attempt_id:
             return []
         if reply.merged is not None:
-            self._finish(group, reply.merged)
+            group.finish(reply.merged)
             self._record_unreachable(reply.merged, now)
             return self._answer_if_done([], now)
         return self._answer_if_done(self._replace(group, 'refused', now), now)
@@ -218,13 +180,7 @@
             return self._answer_if_done(
                 self._mark_lost(group, 'broken', now), now
             )
-        if kind is not FailureKind.not_sent:
-            group.may_have_run = True
-            group.unreported_attempts += max(
-                0, group.granted_attempts - _count_reported(group)
-            )
-        group.attempt_id = None
-        reason = 'silent' if group.is_cancelled else kind.value
+        reason = group.record_failure(kind)
         return self._answer_if_done(self._replace(group, reason, now), now)
 
     def on_timer(self, now: Instant) -> list[Action]:
@@ -244,23 +200,17 @@
         """Return the shards without a reply, each with the reason."""
         missing: dict[str, str] = {}
         for group in self._groups:
-            if group.answer is not None:
-                missing.update(group.answer.missing)
-            elif group.direct is not None:
-                missing.update(group.direct.missing_shards())
-            else:
-                missing.update(dict.fromkeys(group.shards, 'pending'))
+            missing.update(group.missing_shards())
         return missing
 
     @property
     def _reply_count(self) -> int:
-        return sum(_count_replies(group) for group in self._groups)
+        return sum(group.reply_count for group in self._groups)
 
-    def _send_to_next(self, group: _Group, now: Instant) -> list[Action]:
+    def _send_to_next(self, group: GroupGather, now: Instant) -> list[Action]:
         """Send a group to its next aggregator, or directly to its shards."""
-        if not self._attempts_left(group):
-            missing = dict.fromkeys(group.shards, _NO_ATTEMPTS_LEFT)
-            self._finish(group, MergedAnswer({}, missing, b''))
+        if not group.attempts_left:
+            group.finish_without_replies(_NO_ATTEMPTS_LEFT)
             return []
         while group.candidates:
             aggregator = group.candidates.pop(0)
@@ -269,17 +219,7 @@
             if aggregator.health.is_ejected(now):
                 continue
             attempt_id = self._context.next_attempt_id()
-            max_attempts = self._attempts_left(group)
-            group.granted_attempts = min(
-                max_attempts, _count_reported(group) + 1
-            )
-            group.attempt_id = attempt_id
-            group.aggregator = aggregator
-            group.is_cancelled = False
-            group.sent_at = now
-            group.written_at = None
-            group.is_acknowledged = False
-            group.wake_at = now + _ACK_TIMEOUT
+            attempts = group.delegate(attempt_id, aggregator, now)
             self._group_by_attempt[attempt_id] = group
             aggregator.health.start_attempt(attempt_id, now)
             return [
@@ -293,21 +233,22 @@
                         group.shards,
                         self._round_cutoff,
                         group.may_have_run,
-                        AttemptLimit(group.granted_attempts, max_attempts),
+                        attempts,
                         group.tried_by_shard,
                     ),
                 )
             ]
         return self._send_directly(group, now)
 
-    def _send_directly(self, group: _Group, now: Instant) -> list[Action]:
+    def _send_directly(self, group: GroupGather, now: Instant) -> list[Action]:
         group.candidates = []
+        group.attempt_id = None
         group.direct = GatherExchange(
             self._request,
             replace(
                 self._route,
                 shards=group.shards,
-                max_attempts=self._attempts_left(group),
+                max_attempts=group.attempts_left,
                 merge=TopKMerge(
                     self._route.merge.count, self._required_share(group, now)
                 ),
@@ -322,14 +263,7 @@
         )
         return self._process_actions(group, group.direct.start(now), now)
 
-    def _attempts_left(self, group: _Group) -> int:
-        """Return how many upstreams a shard's request may be sent to.
-
-        Upstreams that were reported are included, as they are counted by id.
-        """
-        return max(0, self._route.max_attempts - group.unreported_attempts)
-
-    def _required_share(self, group: _Group, now: Instant) -> float:
+    def _required_share(self, group: GroupGather, now: Instant) -> float:
         """Return the share of a group that its direct gather must reach.
 
         A gather that starts before the cut-off answers at the cut-off with
@@ -343,24 +277,15 @@
         return min(1, max(0, needed / len(group.shards)))
 
     def _replace(
-        self, group: _Group, reason: str, now: Instant
+        self, group: GroupGather, reason: str, now: Instant
     ) -> list[Action]:
         event = self._make_event('aggregator-replaced', group, reason, now)
         return [event, *self._send_to_next(group, now)]
 
     def _make_event(
-        self, event: str, group: _Group, reason: str, now: Instant
+        self, event: str, group: GroupGather, reason: str, now: Instant
     ) -> LogEvent:
-        details = {
-            'aggregator': group.aggregator.id,
-            'reason': reason,
-            'shards': len(group.shards),
-            'attempts_left': self._attempts_left(group),
-            'age_ms': _to_ms(now - self._request.arrived_at),
-            'waited_ms': _to_ms(now - group.sent_at),
-        }
-        if group.written_at is not None:
-            details['since_written_ms'] = _to_ms(now - group.written_at)
+        details = group.describe(reason, self._request.arrived_at, now)
         return LogEvent(event, details)
 
     def _await_unread_acknowledgements(self, now: Instant) -> list[Action]:
@@ -369,11 +294,7 @@
         Its timers may be late, or its network link may be full. Then most
         aggregators seem silent at once, although they are at work.
         """
-        delegated = [
-            group
-            for group in self._groups
-            if group.attempt_id is not None and not group.is_finished
-        ]
+        delegated = [group for group in self._groups if group.is_delegated]
         silent = [
             group
             for group in delegated
@@ -387,19 +308,19 @@
             return []
         self._has_awaited = True
         for group in silent:
-            group.wake_at = now + _ACK_TIMEOUT
+            group.wake_at = now + ACK_TIMEOUT
         return [
             LogEvent(
                 'aggregators-awaited',
                 {
                     'silent': len(silent),
                     'delegated': len(delegated),
-                    'lag_ms': _to_ms(lag),
+                    'lag_ms': to_ms(lag),
                 },
             )
         ]
 
-    def _replace_silent(self, group: _Group, now: Instant) -> list[Action]:
+    def _replace_silent(self, group: GroupGather, now: Instant) -> list[Action]:
         group.aggregator.health.record_unresponsive(now)
         cancellation = CancelSubgather(group.attempt_id)
         if group.is_acknowledged:
@@ -410,15 +331,14 @@
         return [cancellation]
 
     def _mark_lost(
-        self, group: _Group, reason: str, now: Instant
+        self, group: GroupGather, reason: str, now: Instant
     ) -> list[Action]:
         """Finish a group whose aggregator was lost after acknowledging it.
 
         The group is not retried: the aggregator may have sent to as many
         upstreams as the route allows.
         """
-        missing = dict.fromkeys(group.shards, _AGGREGATOR_LOST)
-        self._finish(group, MergedAnswer({}, missing, b''))
+        group.finish_without_replies(_AGGREGATOR_LOST)
         return [self._make_event('aggregator-lost', group, reason, now)]
 
     def _forward_reply(
@@ -431,7 +351,7 @@
         return self._process_actions(group, requested, now)
 
     def _process_actions(
-        self, group: _Group, requested: list[Action], now: Instant
+        self, group: GroupGather, requested: list[Action], now: Instant
     ) -> list[Action]:
         """Register the sends of a direct gather and finish it on its answer."""
         kept: list[Action] = []
@@ -439,24 +359,13 @@
             if isinstance(action, Send):
                 self._group_by_send[action.attempt_id] = group
             if isinstance(action, Deliver):
-                self._finish(
-                    group, to_merged_answer(action.answer, group.direct)
-                )
+                group.finish(to_merged_answer(action.answer, group.direct))
             else:
                 kept.append(action)
         if not group.is_finished:
             group.wake_at = group.direct.wake_at
         return kept
 
-    def _finish(self, group: _Group, answer: MergedAnswer) -> None:
-        group.is_finished = True
-        if group.direct is not None:
-            group.direct.is_done = True
-        if answer.digest_by_shard:
-            group.may_have_run = True
-        group.wake_at = NEVER
-        group.answer = answer
-
     def _record_unreachable(self, merged: MergedAnswer, now: Instant) -> None:
         lost = [
             service
@@ -502,10 +411,11 @@
         for other in list(self._groups):
             if not set(other.answer.missing.values()) - _FINAL_REASONS:
                 continue
-            group = _Group(
+            group = GroupGather(
                 tuple(other.answer.missing),
                 [] if self._rounds == _MAX_ROUNDS else other.candidates,
-                may_have_run=_may_have_run(other),
+                self._route.max_attempts,
+                may_have_run=other.may_have_run_anywhere,
                 unreported_attempts=other.unreported_attempts,
                 tried_by_shard=other.answer.tried_by_shard,
             )
@@ -524,7 +434,7 @@
         answers = [
             group_answer
             for group in self._groups
-            if (group_answer := _group_answer(group)) is not None
+            if (group_answer := group.current_answer) is not None
         ]
         digest_by_shard: dict[ServiceId, bytes] = {}
         for answer in answers:
@@ -539,7 +449,7 @@
 
     def _answer_failure(self, now: Instant) -> Failure | Refusal:
         reason = ','.join(sorted(set(self.missing_shards().values())))
-        if not any(_may_have_run(group) for group in self._groups):
+        if not any(group.may_have_run_anywhere for group in self._groups):
             return Refusal(reason, RETRY_AFTER)
         return Failure(reason, now >= self._answer_deadline)
 
@@ -549,43 +459,3 @@
         self.is_done = True
         self.wake_at = NEVER
         return [Deliver(answer)]
-
-
-def _to_ms(duration: Seconds) -> float:
-    return round(duration * _MS_PER_SECOND, 1)
-
-
-def _count_reported(group: _Group) -> int:
-    """Return the least number of reported upstreams of any shard."""
-    return min(
-        len(group.tried_by_shard.get(shard, ())) for shard in group.shards
-    )
-
-
-def _count_replies(group: _Group) -> int:
-    if group.answer is not None:
-        return len(group.answer.digest_by_shard)
-    return 0 if group.direct is None else group.direct.reply_count
-
-
-def _group_answer(group: _Group) -> MergedAnswer | None:
-    if group.answer is None and group.direct is not None:
-        return group.direct.partial_answer()
-    return group.answer
-
-
-def _may_have_run(group: _Group) -> bool:
-    is_direct = group.direct is not None and group.direct.may_have_run
-    return group.may_have_run or is_direct
-
-
-def _candidates(
-    group: ShardGroup, aggregators: Aggregators
-) -> list[Upstream | None]:
-    """Return the aggregators in order of rank; None is this VM itself."""
-    candidates: list[Upstream | None] = []
-    for vm in group.vms:
-        peer = aggregators.peer(vm)
-        if peer is not None or vm == aggregators.vm:
-            candidates.append(peer)
-    return candidates
