--- a/src/sesametrack/routing/shard_groups.py
+++ b/src/sesametrack/routing/shard_groups.py
@@ -136,8 +136,8 @@
         is_first, self.is_acknowledged = not self.is_acknowledged, True
         self.may_have_run = True
         self.wake_at = overdue_at
-        has_more = self.attempts_left > self.granted_attempts
-        return self.attempts_left if is_first and has_more else 0
+        is_any_left = self.attempts_left > self.granted_attempts
+        return self.attempts_left if is_first and is_any_left else 0
 
     def record_failure(self, kind: FailureKind) -> str:
         """Record the loss of the aggregator; return the reason to log.
