--- a/src/sesametrack/platform/relay.py
+++ b/src/sesametrack/platform/relay.py
@@ -20,7 +20,7 @@
 from sesametrack.contracts.types import Address, Instant, Seconds
 from sesametrack.links.http import HttpRequest, HttpResponse
 from sesametrack.links.http_server import HttpServer
-from sesametrack.platform.store import CODING, ChangeBatch, StoreObject
+from sesametrack.platform.store import RELAY_CODING, ChangeBatch, StoreObject
 
 _PREFIX = '/sesametrack/objects/'
 _OK = 200
@@ -141,7 +141,9 @@
                 await wait_for(state.changed.wait(), _FIRST_LISTING_TIMEOUT)
         if not state.is_listed:
             return HttpResponse(_NOT_FOUND)
-        is_compressed = CODING in request.headers.get('accept-encoding', '')
+        is_compressed = RELAY_CODING in request.headers.get(
+            'accept-encoding', ''
+        )
         query = {key: texts[0] for key, texts in parse_qs(target.query).items()}
         if 'watch' in query:
             after = int(query['watch'])
@@ -177,7 +179,7 @@
         state.body_by_query[key] = body
     headers = {'content-type': 'application/json'}
     if is_compressed:
-        headers['content-encoding'] = CODING
+        headers['content-encoding'] = RELAY_CODING
     return HttpResponse(_OK, body, headers)
 
 
--- a/src/sesametrack/platform/store.py
+++ b/src/sesametrack/platform/store.py
@@ -29,7 +29,7 @@
 _WATCH_TIMEOUT_MARGIN: Seconds = 0.7
 _MS_PER_S = 1000
 # Content coding of relays: the zlib format (RFC 9110, section 8.4.1.2).
-CODING = 'deflate'
+RELAY_CODING = 'deflate'
 _OK = 200
 _CREATED = 201
 _NOT_FOUND = 404
@@ -103,7 +103,9 @@
     def set_address(self, address: Address, *, is_relay: bool) -> None:
         """Send further calls to the store, or to a relay, at this address."""
         # Relays compress their replies; the store has no such option.
-        self._read_headers = {'accept-encoding': CODING} if is_relay else {}
+        self._read_headers = (
+            {'accept-encoding': RELAY_CODING} if is_relay else {}
+        )
         if address != self._address:
             self.close()
             self._address = address
@@ -231,7 +233,7 @@
 
 def _read_body(reply: HttpResponse) -> bytes:
     """Return the decompressed body; raises CompressionError."""
-    if reply.headers.get('content-encoding') != CODING:
+    if reply.headers.get('content-encoding') != RELAY_CODING:
         return reply.body
     decompressor = decompressobj()
     body = decompressor.decompress(reply.body, MAX_RESPONSE_BYTES)
--- a/src/sesametrack/routing/calls.py
+++ b/src/sesametrack/routing/calls.py
@@ -76,7 +76,7 @@
     # upstream's queue that can still be answered in time.
     early_send_deadline: Instant = 0
     # Shared with the other calls of a gather.
-    limit: AttemptLimit | None = None
+    attempt_limit: AttemptLimit | None = None
     # Whether another VM may have sent the request to this service before.
     is_retry: bool = False
     # The upstreams that the other VM reported to have sent it to.
@@ -93,9 +93,9 @@
 
     def __post_init__(self) -> None:
         """Grant all attempts of the route unless there is another limit."""
-        if self.limit is None:
+        if self.attempt_limit is None:
             attempts = self.route.max_attempts
-            self.limit = AttemptLimit(attempts, attempts)
+            self.attempt_limit = AttemptLimit(attempts, attempts)
 
     @property
     def may_have_run(self) -> bool:
@@ -180,7 +180,7 @@
             return []
         upstream = self._choose_upstream(now)
         if upstream is None:
-            self._is_awaiting_grant = self.limit.may_grow
+            self._is_awaiting_grant = self.attempt_limit.may_grow
             return []
         if upstream.health.is_ejected(now):
             return []
@@ -220,7 +220,7 @@
             self._finish('no-upstream')
             return [self._make_event('call-over', 'no-upstream', now)]
         if not self._allowed_upstreams(usable):
-            if self.limit.may_grow and not self._is_awaiting_grant:
+            if self.attempt_limit.may_grow and not self._is_awaiting_grant:
                 self._is_awaiting_grant = True
                 self.wake_at = now + _GRANT_TIMEOUT
                 return []
@@ -288,7 +288,7 @@
             attempt.upstream.id: attempt.may_have_run or attempt.is_pending
             for attempt in self.attempts
         }
-        if len(used.keys() | self.tried_before) < self.limit.granted:
+        if len(used.keys() | self.tried_before) < self.attempt_limit.granted:
             return [
                 upstream
                 for upstream in usable
--- a/src/sesametrack/routing/exchanges.py
+++ b/src/sesametrack/routing/exchanges.py
@@ -259,7 +259,7 @@
         self._context = context
         self._answer_deadline = self.deadline - ANSWER_RESERVE
         self._cutoff = min(self._answer_deadline, deadlines.cutoff)
-        self._attempts = attempts or AttemptLimit(
+        self._attempt_limit = attempts or AttemptLimit(
             route.max_attempts, route.max_attempts
         )
         self._calls = [
@@ -270,7 +270,7 @@
                 self.deadline,
                 self._answer_deadline,
                 deadlines.early_send_deadline,
-                self._attempts,
+                self._attempt_limit,
                 is_retry,
                 frozenset(tried_by_shard.get(service, ())),
             )
@@ -335,8 +335,9 @@
         self, max_attempts: int, now: Instant
     ) -> list[Action]:
         """Raise the limit on attempts; start hedges that waited for it."""
-        self._attempts.granted = max(
-            self._attempts.granted, min(max_attempts, self._attempts.maximum)
+        self._attempt_limit.granted = max(
+            self._attempt_limit.granted,
+            min(max_attempts, self._attempt_limit.maximum),
         )
         for call in self._calls:
             call.on_attempts_granted(now)
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -33,7 +33,7 @@
     UpstreamPool,
 )
 from sesametrack.platform.headers import parse_upstream_reply
-from sesametrack.platform.store import CODING, StoreConnection
+from sesametrack.platform.store import RELAY_CODING, StoreConnection
 from sesametrack.programs.router import Router
 from sesametrack.routing.events import FailureKind
 from standins.endless import REPLIES_BY_KIND, EndlessStandin
@@ -259,7 +259,7 @@
     async def check_compressed_body(self) -> None:
         """Read a body of zeros, compressed to a thousandth."""
         body = compress(bytes(MAX_RESPONSE_BYTES + 1), 9)
-        headers = {'content-encoding': CODING}
+        headers = {'content-encoding': RELAY_CODING}
 
         async def handle(request: HttpRequest) -> HttpResponse:
             return HttpResponse(200, body, headers)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -14,7 +14,7 @@
 )
 from sesametrack.platform.relay import Relay
 from sesametrack.platform.store import (
-    CODING,
+    RELAY_CODING,
     Change,
     ChangeBatch,
     ObjectMeta,
@@ -378,7 +378,9 @@
             relay.apply_listing('servers', make_objects(800, 7), 7)
             relay.record_store_reply()
             plain = await self.read('servers')
-            compressed = await self.read('servers', {'accept-encoding': CODING})
+            compressed = await self.read(
+                'servers', {'accept-encoding': RELAY_CODING}
+            )
             self.assertLess(len(compressed.body) * 5, len(plain.body))
             self.assertNotIn('content-encoding', plain.headers)
             connection = StoreConnection(f'{_HOST}:1')
