Test that connections to aggregators are open before the first request

The fix had no test. The check in test_wide_path fails without it (0 of 30 connections) and passed four times with it. The same run shows that upstreams' connections are not opened ahead there (30 in all): the desired state comes after the fleet's first listing. Left as it is.

--- a/tests/test_wide_path.py
+++ b/tests/test_wide_path.py
@@ -170,6 +170,7 @@
         """Start the fleet, run the checks in order and stop it."""
         try:
             await fleet.start()
+            await self.check_early_connections(fleet)
             await self.check_answer(fleet)
             await self.check_caller_disconnect(fleet)
             await self.check_lost_aggregator(fleet)
@@ -177,6 +178,21 @@
         finally:
             await fleet.close()
 
+    async def check_early_connections(self, fleet: Fleet) -> None:
+        """Check that connections to aggregators are open before a request.
+
+        Failure: the first gather of a process opened all of them, and its
+        aggregators were replaced as silent meanwhile.
+        """
+        expected = _VM_COUNT * (_VM_COUNT - 1)
+        opened = 0
+        for _ in range(_WAIT_ATTEMPTS):
+            opened = await fleet.sum_counter('connections_opened')
+            if opened >= expected:
+                return
+            await sleep(_POLL_INTERVAL_S)
+        self.assertGreaterEqual(opened, expected)
+
     async def check_answer(self, fleet: Fleet) -> None:
         """Check that each shard is queried once and all records are merged."""
         request_id, response = await fleet.send_request(0)
