--- a/tests/test_wide_gather.py
+++ b/tests/test_wide_gather.py
@@ -439,10 +439,12 @@
         gather waited for them.
         """
         names = tuple(f's{number}' for number in range(90))
-        vms = [f'vm-{number}' for number in range(22)]
-        watchers = set(rank_watchers(vms))
-        first = {group.vms[0] for group in divide_shards(names, vms)}
-        self.assertEqual(set(), first & watchers)
+        vms = [f'vm-{number}' for number in range(40)]
+        for size in range(14, len(vms)):
+            watchers = set(rank_watchers(vms[:size]))
+            groups = divide_shards(names, vms[:size])
+            first = {group.vms[0] for group in groups}
+            self.assertEqual(set(), first & watchers, size)
         few = divide_shards(names, vms[:6])
         self.assertEqual(6, len({group.vms[0] for group in few}))
 
