--- a/src/sesametrack/platform/headers.py
+++ b/src/sesametrack/platform/headers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from math import ceil
+from re import compile as compile_pattern
 
 from sesametrack.contracts.exceptions import RequestError
 from sesametrack.contracts.types import Instant, Seconds
@@ -18,6 +19,7 @@
     ReplyKind,
     UpstreamReply,
 )
+from sesametrack.routing.rate_limits import StatedRate
 
 _MS_PER_S = 1000
 # Identifies one attempt of a client: a retry by the client has another id.
@@ -30,6 +32,10 @@
 _EXPECTED_INSTANCE = b'expect-instance'
 # Numbers of running requests, queued requests and slots.
 _LOAD = b'server-load'
+# Requests per second that the upstream takes from all VMs together; only in
+# replies of an upstream in need.
+_RATE_LIMIT = b'server-limit'
+_DECIMAL_NUMBER = compile_pattern(r'(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?')
 # Its presence says that the upstream did not run the request.
 _NOT_EXECUTED = b'not-executed'
 _RETRY_AFTER = b'retry-after'
@@ -64,7 +70,7 @@
     )
 )
 _SET_BY_ROUTER = frozenset((_REMAINING_TIME, _EXPECTED_INSTANCE))
-_CONSUMED_BY_ROUTER = frozenset((_LOAD,))
+_CONSUMED_BY_ROUTER = frozenset((_LOAD, _RATE_LIMIT))
 
 
 def parse_caller_request(incoming: IncomingRequest) -> CallerRequest:
@@ -127,8 +133,16 @@
     if echoed is not None and echoed != request_id:
         return None
     load = _parse_load(by_name.get(_LOAD))
+    stated_rate = _parse_rate_limit(headers)
     if _NOT_EXECUTED in by_name:
-        return UpstreamReply(ReplyKind.rejected, status, [], b'', load=load)
+        return UpstreamReply(
+            ReplyKind.rejected,
+            status,
+            [],
+            b'',
+            load=load,
+            stated_rate=stated_rate,
+        )
     digest = by_name.get(_DIGEST, b'')
     is_success = _OK <= status < _FIRST_NON_SUCCESS
     if is_success and (
@@ -136,8 +150,19 @@
     ):
         return None
     kind = ReplyKind.succeeded if is_success else ReplyKind.failed
-    forwarded = _drop_connection_headers(headers, _CONSUMED_BY_ROUTER)
-    return UpstreamReply(kind, status, forwarded, body, digest, load)
+    if is_success and stated_rate is None:
+        # Only a success shows that the upstream states no limit: an error may
+        # come from a part of it that never does.
+        stated_rate = StatedRate()
+    return UpstreamReply(
+        kind,
+        status,
+        _drop_connection_headers(headers, _CONSUMED_BY_ROUTER),
+        body,
+        digest,
+        load,
+        stated_rate=stated_rate,
+    )
 
 
 def build_caller_response(answer: Answer, request_id: str) -> OutgoingResponse:
@@ -201,6 +226,22 @@
     return int(parts[0]), int(parts[1])
 
 
+def _parse_rate_limit(headers: Headers) -> StatedRate | None:
+    """Return the least limit that the headers state, None if there is none."""
+    texts = [
+        part.strip()
+        for name, text in headers
+        if name == _RATE_LIMIT
+        for part in text.decode('ascii', 'replace').split(',')
+    ]
+    if not texts:
+        return None
+    rates = [float(text) for text in texts if _DECIMAL_NUMBER.fullmatch(text)]
+    if not rates:
+        return StatedRate(unreadable=repr(','.join(texts)))
+    return StatedRate(min(rates))
+
+
 def _drop_connection_headers(
     headers: Headers, dropped: frozenset[bytes]
 ) -> Headers:
--- a/src/sesametrack/programs/exchange_driver.py
+++ b/src/sesametrack/programs/exchange_driver.py
@@ -17,6 +17,7 @@
     InFlightSend,
     describe_answer,
 )
+from sesametrack.programs.limit_reports import LimitReports
 from sesametrack.programs.pending_sends import build_pending_send
 from sesametrack.programs.upstream_pools import UpstreamPools
 from sesametrack.routing.directory import UpstreamDirectory
@@ -96,6 +97,7 @@
         self._grant_id_base = randbits(_GRANT_ID_BASE_BITS) << _ATTEMPT_ID_BITS
         self._active_by_grant: dict[int, ActiveRequest] = {}
         self.pools = UpstreamPools(self, connection_limit, metrics, loop, now)
+        self.limit_reports = LimitReports(metrics)
         self._directory = directory
         self._timings = timings
         self._readiness = readiness
@@ -165,6 +167,10 @@
         health = in_flight.upstream.health
         if reply.load is not None:
             health.record_load(*reply.load, now)
+        if reply.stated_rate is not None:
+            self.limit_reports.record_reply(
+                in_flight.upstream, reply.stated_rate, in_flight.sent_at, now
+            )
         if reply.kind is ReplyKind.succeeded:
             self._record_success(in_flight, attempt_id, now)
         else:
@@ -266,6 +272,7 @@
                 slowness=round(send.upstream.health.slowness, 2),
             )
         self._metrics.count(f'sends.{send.reason}')
+        self.limit_reports.record_send(send.upstream, send.reason)
         self._in_flight_by_attempt[send.attempt_id] = InFlightSend(
             active_request,
             send.upstream,
@@ -483,6 +490,7 @@
 
     def _close_expired(self) -> None:
         self.pools.close_expired()
+        self.limit_reports.flush()
         self._metrics.gauge('requests.busy', self.active_count)
         self._timers[1] = self._loop.call_later(
             _CLOSE_EXPIRED_INTERVAL, self._close_expired
--- a/src/sesametrack/routing/directory.py
+++ b/src/sesametrack/routing/directory.py
@@ -12,6 +12,7 @@
     UpstreamId,
 )
 from sesametrack.routing.health import UpstreamHealth
+from sesametrack.routing.rate_limits import RateLimit
 
 # Entries that expired during a store outage are written again within two
 # seconds of its end; upstreams that are still missing then have stopped.
@@ -54,6 +55,7 @@
     expires_at: Instant | None = None
     is_replaced: bool = False
     health: UpstreamHealth = field(default_factory=UpstreamHealth)
+    rate_limit: RateLimit = field(default_factory=RateLimit)
 
     @property
     def id(self) -> UpstreamId:
--- a/src/sesametrack/routing/events.py
+++ b/src/sesametrack/routing/events.py
@@ -10,6 +10,7 @@
     UpstreamId,
 )
 from sesametrack.routing.directory import Upstream
+from sesametrack.routing.rate_limits import StatedRate
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -70,6 +71,8 @@
     load: tuple[int, int] | None = None
     # Set in the reply of an aggregator.
     merged: 'MergedAnswer | None' = None
+    # None if the reply says nothing about a limit of the upstream.
+    stated_rate: StatedRate | None = None
 
 
 @dataclass(slots=True)
--- a/tests/test_wire_headers.py
+++ b/tests/test_wire_headers.py
@@ -16,6 +16,7 @@
     Refusal,
     ReplyKind,
 )
+from sesametrack.routing.rate_limits import StatedRate
 
 _ID = b'9c41'
 _SUCCESS_HEADERS = [(b'request-id', _ID), (b'server-stamp', b'3e1b.07')]
@@ -105,6 +106,59 @@
         self.assertEqual(ReplyKind.misdirected, misdirected.kind)
 
 
+class RateLimitTest(TestCase):
+    """The limit that an upstream states in its replies."""
+
+    def parse(
+        self, *texts: bytes, status: int = 200, others: tuple = ()
+    ) -> StatedRate | None:
+        """Return what a reply with these limits states."""
+        limits = [(b'server-limit', text) for text in texts]
+        headers = [*_SUCCESS_HEADERS, *limits, *others]
+        reply = parse_upstream_reply(_ID, status, headers, b'x')
+        return reply.stated_rate
+
+    def test_number(self) -> None:
+        """Decimal numbers are requests per second."""
+        for text, rate in (
+            (b'18.8', 18.8),
+            (b' 3 ', 3),
+            (b'0', 0),
+            (b'.5', 0.5),
+            (b'1e9', 1e9),
+        ):
+            self.assertEqual(StatedRate(rate), self.parse(text))
+
+    def test_several(self) -> None:
+        """Of several limits the least holds; unreadable ones are ignored."""
+        self.assertEqual(StatedRate(2), self.parse(b'7', b'2', b'9'))
+        self.assertEqual(StatedRate(2), self.parse(b'7, 2'))
+        self.assertEqual(StatedRate(7), self.parse(b'x', b'7'))
+
+    def test_unreadable(self) -> None:
+        """A text that is no number neither sets nor ends a limit."""
+        for text in (b'', b'-1', b'nan', b'inf', b'many', b'1_0', b'\xff'):
+            stated = self.parse(text)
+            self.assertIsNone(stated.per_s)
+            self.assertNotEqual(StatedRate(), stated)
+
+    def test_errors(self) -> None:
+        """Errors may state a limit, but only a success states that none is."""
+        self.assertEqual(StatedRate(), self.parse())
+        self.assertIsNone(self.parse(status=500))
+        self.assertEqual(StatedRate(2), self.parse(b'2', status=500))
+        not_executed = (b'not-executed', b'1')
+        self.assertIsNone(self.parse(status=503, others=(not_executed,)))
+        rejected = self.parse(b'2', status=503, others=(not_executed,))
+        self.assertEqual(StatedRate(2), rejected)
+
+    def test_not_forwarded(self) -> None:
+        """Callers don't get the limit of an upstream."""
+        headers = [*_SUCCESS_HEADERS, (b'server-limit', b'2')]
+        reply = parse_upstream_reply(_ID, 200, headers, b'x')
+        self.assertNotIn(b'server-limit', dict(reply.headers))
+
+
 class AnswerTest(TestCase):
     """Answers to callers."""
 
