--- /dev/null
+++ b/src/sesametrack/platform/coordinator_lease.py
@@ -0,0 +1,200 @@
+"""Keeps the coordinator's lease in the store."""
+
+from asyncio import Event, Task, create_task, sleep, wait_for
+from collections.abc import Callable
+from contextlib import suppress
+from logging import getLogger
+from random import Random
+from typing import Protocol
+
+from msgspec import ValidationError, convert
+
+from sesametrack.contracts.exceptions import ConflictError, PlatformError
+from sesametrack.contracts.types import Address, Instant, Seconds, VmId
+from sesametrack.platform.store import StoreConnection, StoreObject
+from sesametrack.telemetry.structured_log import log_event
+from sesametrack.vms.coordinator import (
+    IDLE_TIME,
+    RENEWAL_INTERVAL,
+    CoordinatorLease,
+    LeaseClaim,
+    LeaseStep,
+)
+
+_OBJECT_KIND = 'sesametrack-coordinators'
+_OBJECT_NAME = 'upstream-rates'
+# VMs seek the coordinator at the same time, so each waits at random, up to this
+# time for each VM of the fleet. The first one that takes the lease tells them.
+_START_DELAY_PER_VM: Seconds = 0.03
+_RETRY_DELAY: Seconds = 1
+_TOKEN_BITS = 62
+
+_log = getLogger('coordinator')
+
+
+class LeaseListener(Protocol):
+    """Callbacks of the lease."""
+
+    def on_lease_taken(self, *, is_first: bool) -> None:
+        """Issue permits; `is_first` if no VM has ever held the lease."""
+
+    def on_lease_renewed(self) -> None:
+        """Handle that the lease was renewed."""
+
+    def on_coordinator_found(self, address: Address) -> None:
+        """Handle that another VM holds the lease."""
+
+
+class LeaseKeeper:
+    """Takes the lease when it is sought, and renews it while it is used."""
+
+    def __init__(
+        self,
+        store: Address,
+        vm: VmId,
+        address: Address,
+        listener: LeaseListener,
+        now: Callable[[], Instant],
+        rng: Random,
+    ) -> None:
+        """Set the store and what to write into the lease."""
+        self.lease = CoordinatorLease(vm, address)
+        self._connection = StoreConnection(store)
+        self._listener = listener
+        self._now = now
+        self._rng = rng
+        self.fleet_size = 1
+        self._revision = 0
+        self._may_read_stale = True
+        self._used_at: Instant = float('-inf')
+        self._sought = Event()
+        self._is_stopping = False
+        self._task: Task | None = None
+
+    @property
+    def calls(self) -> int:
+        """Number of calls made to the store."""
+        return self._connection.calls
+
+    async def start(self) -> None:
+        """Wait until the coordinator is sought."""
+        self._task = create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop without a call to the store."""
+        if self._task is not None:
+            self._task.cancel()
+        self._connection.close()
+
+    @property
+    def is_held(self) -> bool:
+        """Return whether this VM may issue permits now."""
+        return self.lease.is_held(self._now())
+
+    def record_use(self) -> None:
+        """Keep the lease: permits are being requested."""
+        self._used_at = self._now()
+
+    def seek(self) -> None:
+        """Find the coordinator, or become it."""
+        if not self._is_stopping and not self.is_held:
+            self._sought.set()
+
+    def stop_seeking(self) -> None:
+        """Handle that another VM is known to be the coordinator."""
+        self._sought.clear()
+
+    def stop(self) -> None:
+        """Give up the lease, since this VM shuts down."""
+        self._is_stopping = True
+        self._sought.set()
+
+    async def _run(self) -> None:
+        while self.lease.is_claimed or not self._is_stopping:
+            try:
+                await self._step()
+            except PlatformError as error:
+                log_event(_log, 'lease-call-failed', problem=str(error))
+                await sleep(_RETRY_DELAY)
+
+    async def _step(self) -> None:
+        if self.lease.is_claimed:
+            await self._hold()
+            return
+        await self._sought.wait()
+        await sleep(self._rng.random() * _START_DELAY_PER_VM * self.fleet_size)
+        if self._sought.is_set() and not self._is_stopping:
+            self._sought.clear()
+            await self._look_up()
+
+    async def _hold(self) -> None:
+        """Renew the lease after a while, or release it."""
+        with suppress(TimeoutError):
+            await wait_for(self._sought.wait(), RENEWAL_INTERVAL)
+        self._sought.clear()
+        if self._is_stopping or self._now() > self._used_at + IDLE_TIME:
+            claim = self.lease.make_release()
+            self.lease.record_lost()
+            log_event(_log, 'lease-released', is_stopping=self._is_stopping)
+            await self._connection.replace_unchanged(
+                _OBJECT_KIND, _OBJECT_NAME, claim, self._revision
+            )
+            return
+        try:
+            await self._write(self.lease.make_renewal())
+        except ConflictError:
+            self.lease.record_lost()
+            log_event(_log, 'lease-lost', 30)
+            return
+        self._listener.on_lease_renewed()
+
+    async def _look_up(self) -> None:
+        """Read the lease; take it, or follow its holder."""
+        # A stale copy costs less. It can't lead to a second holder, as the
+        # write is refused if the lease has changed.
+        objects, _ = await self._connection.list_objects(
+            _OBJECT_KIND, allow_stale=self._may_read_stale
+        )
+        self._may_read_stale = True
+        found = next(
+            (one for one in objects if one.meta.name == _OBJECT_NAME), None
+        )
+        claim = None if found is None else _decode_claim(found)
+        step = self.lease.observe(claim, self._now())
+        if step is LeaseStep.follow:
+            log_event(_log, 'lease-found', vm=claim.vm, renewals=claim.renewals)
+            self._listener.on_coordinator_found(claim.address)
+            await sleep(_RETRY_DELAY * (0.5 + self._rng.random()))
+            return
+        self._revision = 0 if found is None else found.meta.rev
+        try:
+            await self._write(
+                self.lease.make_claim(self._rng.getrandbits(_TOKEN_BITS))
+            )
+        except ConflictError:
+            # Another VM was faster, or the copy was stale.
+            self._may_read_stale = False
+            self._sought.set()
+            return
+        log_event(_log, 'lease-taken', before=claim.vm if claim else '')
+        self._listener.on_lease_taken(is_first=found is None)
+
+    async def _write(self, claim: LeaseClaim) -> None:
+        started_at = self._now()
+        if self._revision:
+            self._revision = await self._connection.replace_unchanged(
+                _OBJECT_KIND, _OBJECT_NAME, claim, self._revision
+            )
+        else:
+            self._revision = await self._connection.create(
+                _OBJECT_KIND, _OBJECT_NAME, claim
+            )
+        self.lease.record_written(claim, started_at)
+
+
+def _decode_claim(store_object: StoreObject) -> LeaseClaim | None:
+    try:
+        return convert(store_object.spec, LeaseClaim)
+    except ValidationError as error:
+        log_event(_log, 'lease-unreadable', 30, problem=str(error))
+        return None
--- a/src/sesametrack/platform/registration.py
+++ b/src/sesametrack/platform/registration.py
@@ -8,7 +8,7 @@
 from msgspec import Struct, ValidationError, convert
 
 from sesametrack.contracts.exceptions import ConflictError, PlatformError
-from sesametrack.contracts.types import Address, Instant, Seconds
+from sesametrack.contracts.types import Address, Instant, Seconds, VmId
 from sesametrack.platform.store import StoreConnection, StoreObject
 from sesametrack.telemetry.structured_log import log_event
 from sesametrack.vms.fleet_count import FleetCount
@@ -32,6 +32,8 @@
     heartbeat: int
     # Receives grants of further attempts. Older versions have none.
     grant_address: str = ''
+    # Receives messages about permits. Older versions have none.
+    permit_address: str = ''
 
 
 class Registration:
@@ -106,6 +108,7 @@
             own_vm.relay_address,
             self._heartbeat,
             own_vm.grant_address,
+            own_vm.permit_address,
         )
         is_created, self._is_created = self._is_created, False
         if is_created:
@@ -134,19 +137,21 @@
             log_event(_log, 'vm-entry-removed', vm=vm)
             await self._connection.delete(_OBJECT_KIND, vm)
         live_vms = sorted(self._fleet.live & entry_by_vm.keys())
-        fleet = [
-            FleetVm(
-                vm,
-                entry_by_vm[vm].failure_domain,
-                entry_by_vm[vm].relay_address,
-                entry_by_vm[vm].peer_address,
-                entry_by_vm[vm].grant_address,
-            )
-            for vm in live_vms
-        ]
+        fleet = [_make_fleet_vm(vm, entry_by_vm[vm]) for vm in live_vms]
         self._on_fleet(fleet)
 
 
+def _make_fleet_vm(vm: VmId, entry: _Entry) -> FleetVm:
+    return FleetVm(
+        vm,
+        entry.failure_domain,
+        entry.relay_address,
+        entry.peer_address,
+        entry.grant_address,
+        entry.permit_address,
+    )
+
+
 def _decode_entry(store_object: StoreObject) -> _Entry | None:
     try:
         return convert(store_object.spec, _Entry)
--- a/src/sesametrack/platform/store.py
+++ b/src/sesametrack/platform/store.py
@@ -77,6 +77,7 @@
 
 _page_decoder = Decoder(_Page)
 _batch_decoder = Decoder(ChangeBatch)
+_object_decoder = Decoder(StoreObject)
 
 
 class StoreConnection:
@@ -135,14 +136,30 @@
         reply = await self._read(kind, query, wait + _WATCH_TIMEOUT_MARGIN)
         return self._decode(_batch_decoder, reply)
 
-    async def create(self, kind: str, name: str, spec: Any) -> None:
-        """Create an object; raises ConflictError if it exists."""
-        await self._write('POST', f'{_PATH}/{kind}', name, spec)
+    async def create(self, kind: str, name: str, spec: Any) -> int:
+        """Create an object and return its revision.
 
-    async def replace(self, kind: str, name: str, spec: Any) -> None:
-        """Replace an object's content at any revision."""
+        Raises ConflictError if it exists.
+        """
+        return await self._write(
+            'POST', f'{_PATH}/{kind}', {'name': name}, spec
+        )
+
+    async def replace(self, kind: str, name: str, spec: Any) -> int:
+        """Replace an object's content at any revision; return the new one."""
+        path = f'{_PATH}/{kind}/{quote(name)}'
+        return await self._write('PUT', path, {'name': name}, spec)
+
+    async def replace_unchanged(
+        self, kind: str, name: str, spec: Any, revision: int
+    ) -> int:
+        """Replace an object's content if it is still at a revision.
+
+        Return the new revision; raises ConflictError if it has changed.
+        """
         path = f'{_PATH}/{kind}/{quote(name)}'
-        await self._write('PUT', path, name, spec)
+        meta = {'name': name, 'rev': revision}
+        return await self._write('PUT', path, meta, spec)
 
     async def delete(self, kind: str, name: str) -> None:
         """Delete an object; a missing one is not an error."""
@@ -183,9 +200,9 @@
         return reply
 
     async def _write(
-        self, method: str, path: str, name: str, spec: Any
-    ) -> None:
-        body = encode({'meta': {'name': name}, 'spec': spec})
+        self, method: str, path: str, meta: dict[str, str | int], spec: Any
+    ) -> int:
+        body = encode({'meta': meta, 'spec': spec})
         headers = {'content-type': 'application/json'}
         reply = await self._exchange(HttpRequest(method, path, headers, body))
         if reply.status == _CONFLICT:
@@ -193,6 +210,7 @@
         if reply.status >= _FIRST_SERVER_ERROR and reply.status != _UNAVAILABLE:
             raise PlatformLostReplyError(f'{path}: status {reply.status}')
         self._require_success(reply)
+        return self._decode(_object_decoder, reply).meta.rev
 
     async def _exchange(
         self, request: HttpRequest, timeout: Seconds = _CALL_TIMEOUT
--- a/src/sesametrack/programs/exchange_driver.py
+++ b/src/sesametrack/programs/exchange_driver.py
@@ -3,7 +3,7 @@
 from asyncio import AbstractEventLoop, TimerHandle
 from collections.abc import Callable
 from dataclasses import dataclass
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 from logging import getLogger
 from secrets import randbits
 
@@ -19,16 +19,20 @@
 )
 from sesametrack.programs.limit_reports import LimitReports
 from sesametrack.programs.pending_sends import build_pending_send
+from sesametrack.programs.permit_exchange import PermitCallback
 from sesametrack.programs.upstream_pools import UpstreamPools
+from sesametrack.routing.admission import AdmissionExchange
 from sesametrack.routing.directory import UpstreamDirectory
 from sesametrack.routing.events import (
     Action,
+    Admit,
     CancelSubgather,
     Deliver,
     FailureKind,
     GrantAttempts,
     LogEvent,
     ReplyKind,
+    RequestPermits,
     Send,
     UpstreamReply,
 )
@@ -59,6 +63,8 @@
 _GRANT_ID_BASE_BITS = 31
 _ATTEMPT_ID_BITS = 32
 
+PermitRequester = Callable[[RequestPermits, PermitCallback | None], None]
+
 _log = getLogger('forwarder')
 
 
@@ -86,12 +92,14 @@
         readiness: Readiness,
         connection_limit: Callable[[ServiceId], int],
         send_grant: Callable[[UpstreamId, AttemptGrant], None],
+        request_permits: PermitRequester,
         metrics: Metrics,
         loop: AbstractEventLoop,
         now: Callable[[], Instant],
     ) -> None:
         """Create the pools; `start` begins the periodic work."""
         self._send_grant = send_grant
+        self._request_permits = request_permits
         # Differs between processes, so that a grant never applies to a
         # sub-gather of an earlier process of this VM.
         self._grant_id_base = randbits(_GRANT_ID_BASE_BITS) << _ATTEMPT_ID_BITS
@@ -287,6 +295,42 @@
         grant_id = self._grant_id_base | send.attempt_id
         pool.send(build_pending_send(active_request, send, grant_id, self._now))
 
+    @_execute.register
+    def _ask_for_permits(
+        self,
+        action: RequestPermits,
+        active_request: ActiveRequest,
+        now: Instant,
+    ) -> None:
+        callback = None
+        if action.is_admission:
+            callback = partial(self._on_permits, active_request)
+        self._request_permits(action, callback)
+
+    def _on_permits(
+        self,
+        active_request: ActiveRequest,
+        wait: Seconds | None,
+        retry_after: Seconds,
+    ) -> None:
+        exchange = active_request.exchange
+        if isinstance(exchange, AdmissionExchange) and not exchange.is_done:
+            now = self._now()
+            next_actions = exchange.on_permits(wait, retry_after, now)
+            self._execute_actions(active_request, next_actions, now)
+
+    @_execute.register
+    def _admit(
+        self, action: Admit, active_request: ActiveRequest, now: Instant
+    ) -> None:
+        active_request.exchange = active_request.exchange.admitted
+        active_request.log_details['admitted_after_ms'] = round(
+            (now - active_request.request.arrived_at) * _MS_PER_SECOND, 1
+        )
+        self._execute_actions(
+            active_request, active_request.exchange.start(now), now
+        )
+
     @_execute.register
     def _deliver(
         self, action: Deliver, active_request: ActiveRequest, now: Instant
--- a/src/sesametrack/programs/forwarder.py
+++ b/src/sesametrack/programs/forwarder.py
@@ -31,12 +31,18 @@
     parse_caller_request,
 )
 from sesametrack.programs.active_requests import ActiveRequest
-from sesametrack.programs.exchange_driver import ExchangeDriver, Readiness
+from sesametrack.programs.exchange_driver import (
+    ExchangeDriver,
+    PermitRequester,
+    Readiness,
+)
+from sesametrack.programs.permit_exchange import PermitCallback
+from sesametrack.routing.admission import admit
 from sesametrack.routing.aggregators import AGGREGATOR_SERVICE, Aggregators
 from sesametrack.routing.calls import CallContext
 from sesametrack.routing.desired_state import Route
 from sesametrack.routing.directory import UpstreamDirectory
-from sesametrack.routing.events import CallerRequest, Refusal
+from sesametrack.routing.events import CallerRequest, Refusal, RequestPermits
 from sesametrack.routing.exchanges import (
     Exchange,
     GatherExchange,
@@ -44,7 +50,7 @@
     gather_deadlines,
     is_listed_but_unreachable,
 )
-from sesametrack.routing.pacing import ColdStartPacer
+from sesametrack.routing.pacing import UpstreamPacer
 from sesametrack.routing.retry_budget import RetryBudget
 from sesametrack.routing.routes import RouteTable
 from sesametrack.routing.selection import Selector
@@ -95,13 +101,13 @@
         self._shares = LimitShares(DEFAULT_VM_COUNT)
         self._metrics = metrics
         self._now = now
-        self._pacer = ColdStartPacer()
+        self.pacer = UpstreamPacer()
         self._timings = TimingTable()
         self._context = CallContext(
             self.directory,
-            Selector(vm_domain, self._pacer, rng),
+            Selector(vm_domain, self.pacer, rng),
             budget,
-            self._pacer,
+            self.pacer,
             self._timings,
             partial(next, count(1)),
             self._connection_limit,
@@ -112,15 +118,18 @@
             self.readiness,
             self._connection_limit,
             self._send_grant,
+            self._request_permits,
             metrics,
             loop,
             now,
         )
         self._pools = self._driver.pools
+        self._permit_requester: PermitRequester | None = None
         self._last_used_at_by_route: dict[str, Instant] = {}
 
-    def start(self) -> None:
-        """Start the periodic work of the driver."""
+    def start(self, request_permits: PermitRequester) -> None:
+        """Start the periodic work; permits are requested by this callback."""
+        self._permit_requester = request_permits
         self._driver.start()
 
     def close(self) -> None:
@@ -178,13 +187,12 @@
             gathers = {route.shards for route in self.routes.state.routes}
         self._shares = self.aggregators.shares(vm_count, gathers)
         self.budget.set_shares(self._shares)
-        self._pacer.set_shares(self._shares)
         self._pools.update_limits()
 
     def apply_desired_state(self) -> None:
         """Apply the limits of the new desired state in the route table."""
         state = self.routes.state
-        self._pacer.configure(state.service_by_id)
+        self.pacer.configure(state.service_by_id)
         self._timings.retain({route.name for route in state.routes})
         self.apply_vm_count(self.vm_count)
         self._preopen_aggregators()
@@ -263,7 +271,7 @@
     def remove_upstreams(self, upstream_ids: list[UpstreamId]) -> None:
         """Drop the state and the pools of upstreams that are not listed."""
         for upstream_id in upstream_ids:
-            self._pacer.remove_upstream(upstream_id)
+            self.pacer.remove_upstream(upstream_id)
         self._pools.remove(upstream_ids)
 
     def on_request(
@@ -388,14 +396,27 @@
     ) -> Exchange:
         if not route.shards:
             service = self.routes.choose_service(route)
-            return SingleExchange(request, route, service, self._context)
+            single = SingleExchange(request, route, service, self._context)
+            return self._admit(single, request, route, (service,))
         groups = self.aggregators.groups(route.shards)
         if groups:
             return WideGatherExchange(
                 request, route, self._context, self.aggregators, groups
             )
         times = gather_deadlines(request, route)
-        return GatherExchange(request, route, self._context, times)
+        gather = GatherExchange(request, route, self._context, times)
+        return self._admit(gather, request, route, route.shards)
+
+    def _admit(
+        self,
+        exchange: Exchange,
+        request: CallerRequest,
+        route: Route,
+        services: tuple[ServiceId, ...],
+    ) -> Exchange:
+        return admit(
+            exchange, request, route, services, self._context, self._now()
+        )
 
     def _refuse(
         self,
@@ -427,6 +448,11 @@
             is_last=self.is_draining_callers,
         )
 
+    def _request_permits(
+        self, request: RequestPermits, callback: PermitCallback | None
+    ) -> None:
+        self._permit_requester(request, callback)
+
     def _send_grant(self, peer_id: UpstreamId, grant: AttemptGrant) -> None:
         address = self.aggregators.grant_address(peer_id)
         if address:
--- /dev/null
+++ b/src/sesametrack/programs/permit_exchange.py
@@ -0,0 +1,265 @@
+"""Requests permits from the coordinator, and issues them if this VM is it."""
+
+from asyncio import AbstractEventLoop, TimerHandle
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from itertools import count
+from logging import getLogger
+from random import Random
+
+from sesametrack.contracts.permits import (
+    CoordinatorNotice,
+    PermitMessage,
+    PermitReply,
+    PermitRequest,
+)
+from sesametrack.contracts.types import Address, Instant, Seconds, VmId
+from sesametrack.links.datagrams import DatagramEndpoint
+from sesametrack.platform.coordinator_lease import LeaseKeeper
+from sesametrack.routing.events import RequestPermits
+from sesametrack.routing.pacing import (
+    NO_COORDINATOR_DELAY,
+    PERMIT_TIMEOUT,
+    UpstreamPacer,
+)
+from sesametrack.routing.permits import MAX_PERMIT_WAIT, PermitIssuer
+from sesametrack.telemetry.metrics import Metrics
+from sesametrack.telemetry.structured_log import log_event
+
+# A reply that took longer may be that of a coordinator that was paused.
+_MAX_REPLY_TIME: Seconds = 0.1
+# Unanswered requests in a row after which the coordinator is looked up again.
+_MAX_SILENT_REQUESTS = 3
+
+_log = getLogger('permits')
+
+# Called with the time until all permits are due, None if there were not
+# enough, and the time after which the request may be repeated.
+PermitCallback = Callable[[Seconds | None, Seconds], None]
+
+
+@dataclass(slots=True)
+class _PendingRequest:
+    message: PermitRequest
+    callback: PermitCallback | None
+    asked_at: Instant
+    timer: TimerHandle
+    is_sent: bool = False
+
+
+class PermitExchange:
+    """Owns the datagram link for permits, and the coordinator's lease."""
+
+    def __init__(
+        self,
+        store: Address,
+        vm: VmId,
+        address: Address,
+        pacer: UpstreamPacer,
+        metrics: Metrics,
+        loop: AbstractEventLoop,
+        now: Callable[[], Instant],
+        rng: Random,
+    ) -> None:
+        """Start without a coordinator; `start` opens the socket."""
+        self._peers: list[Address] = []
+        self._vm = vm
+        self._address = address
+        self._pacer = pacer
+        self._metrics = metrics
+        self._loop = loop
+        self._now = now
+        self._lease = LeaseKeeper(store, vm, address, self, now, rng)
+        self._link = DatagramEndpoint(address, self._on_message, PermitMessage)
+        self._issuer = PermitIssuer(now())
+        self._coordinator: Address | None = None
+        self._silent_requests = 0
+        self._request_ids = count(1)
+        self._pending_by_id: dict[int, _PendingRequest] = {}
+
+    async def start(self) -> None:
+        """Open the socket; raises OSError if the address is in use."""
+        await self._link.start()
+        await self._lease.start()
+
+    async def close(self) -> None:
+        """Close the socket, and fail the pending requests."""
+        for request_id in list(self._pending_by_id):
+            self._finish(request_id, None)
+        await self._lease.close()
+        await self._link.close()
+
+    def set_peers(self, addresses: list[Address]) -> None:
+        """Set where the other VMs receive these messages."""
+        self._peers = addresses
+        self._lease.fleet_size = len(addresses) + 1
+
+    def stop(self) -> None:
+        """Give up the lease, since this VM shuts down."""
+        self._lease.stop()
+
+    @property
+    def store_calls(self) -> int:
+        """Number of calls made to the store."""
+        return self._lease.calls
+
+    def request(
+        self, request: RequestPermits, callback: PermitCallback | None
+    ) -> None:
+        """Request permits; the pacer and the callback get the result."""
+        now = self._now()
+        request_id = next(self._request_ids)
+        message = PermitRequest(
+            request_id,
+            [
+                [
+                    self._pacer.describe(upstream, now)
+                    for upstream in need
+                    if self._pacer.limit(upstream, now) is not None
+                ]
+                for need in request.needs
+            ],
+            request.min_permits,
+            request.max_wait,
+        )
+        self._metrics.count('permits.requests')
+        self._pending_by_id[request_id] = _PendingRequest(
+            message,
+            callback,
+            now,
+            self._loop.call_later(
+                PERMIT_TIMEOUT, self._handle_timeout, request_id
+            ),
+        )
+        self._send(request_id)
+
+    def on_lease_taken(self, *, is_first: bool) -> None:
+        """Issue permits once those of the former coordinator are due."""
+        now = self._now()
+        self._issuer = PermitIssuer(now if is_first else now + MAX_PERMIT_WAIT)
+        self._coordinator = None
+        self._metrics.gauge('permits.is-coordinator', 1)
+        self._notify_peers()
+        self._send_unsent()
+
+    def on_lease_renewed(self) -> None:
+        """Tell VMs that may have missed it who the coordinator is."""
+        self._notify_peers()
+
+    def on_coordinator_found(self, address: Address) -> None:
+        """Send further requests to another VM."""
+        self._coordinator = address
+        self._silent_requests = 0
+        self._send_unsent()
+
+    def _notify_peers(self) -> None:
+        notice = CoordinatorNotice(self._vm, self._address)
+        for peer in self._peers:
+            self._link.send(peer, notice)
+
+    def _send_unsent(self) -> None:
+        for request_id, pending in list(self._pending_by_id.items()):
+            if not pending.is_sent:
+                self._send(request_id)
+
+    def _send(self, request_id: int) -> None:
+        pending = self._pending_by_id[request_id]
+        if self._lease.is_held:
+            pending.is_sent = True
+            reply = self._issue(pending.message)
+            self._loop.call_soon(self._finish, request_id, reply)
+        elif self._coordinator is None:
+            self._lease.seek()
+        else:
+            pending.is_sent = True
+            self._link.send(self._coordinator, pending.message)
+
+    def _issue(self, message: PermitRequest) -> PermitReply:
+        self._lease.record_use()
+        reply = self._issuer.issue(message, self._now())
+        self._metrics.count('permits.issued', len(reply.permits))
+        return reply
+
+    def _on_message(self, message: PermitMessage, sender: Address) -> None:
+        self._handle(message, sender)
+
+    @singledispatchmethod
+    def _handle(self, message: PermitMessage, sender: Address) -> None:
+        raise TypeError(message)
+
+    @_handle.register
+    def _on_request(self, message: PermitRequest, sender: Address) -> None:
+        reply = PermitReply(message.request_id, is_coordinator=False)
+        if self._lease.is_held:
+            reply = self._issue(message)
+        self._link.send(sender, reply)
+
+    @_handle.register
+    def _on_reply(self, reply: PermitReply, sender: Address) -> None:
+        if sender != self._coordinator:
+            return
+        self._silent_requests = 0
+        if not reply.is_coordinator:
+            self._forget_coordinator('not-coordinator')
+        self._finish(reply.request_id, reply)
+
+    @_handle.register
+    def _on_notice(self, notice: CoordinatorNotice, sender: Address) -> None:
+        if self._lease.is_held:
+            return
+        if notice.address != self._coordinator:
+            log_event(_log, 'coordinator', vm=notice.vm, address=notice.address)
+        self._lease.stop_seeking()
+        self.on_coordinator_found(notice.address)
+
+    def _handle_timeout(self, request_id: int) -> None:
+        pending = self._pending_by_id[request_id]
+        if pending.is_sent:
+            self._silent_requests += 1
+            if self._silent_requests >= _MAX_SILENT_REQUESTS:
+                self._forget_coordinator('silent')
+        self._metrics.count('permits.timeouts')
+        self._finish(request_id, None)
+
+    def _forget_coordinator(self, reason: str) -> None:
+        log_event(
+            _log, 'coordinator-lost', 30, was=self._coordinator, reason=reason
+        )
+        self._coordinator = None
+        self._silent_requests = 0
+        self._lease.seek()
+
+    def _finish(self, request_id: int, reply: PermitReply | None) -> None:
+        """Apply a reply, None if the coordinator gave none."""
+        pending = self._pending_by_id.pop(request_id, None)
+        if pending is None:
+            return
+        pending.timer.cancel()
+        now = self._now()
+        if now > pending.asked_at + _MAX_REPLY_TIME:
+            reply = None
+        if reply is None or not reply.is_coordinator:
+            self._deny_all(pending.message, now)
+            if pending.callback is not None:
+                pending.callback(None, NO_COORDINATOR_DELAY)
+            return
+        for permit in reply.permits:
+            self._pacer.add_permit(
+                permit.upstream, permit.wait, permit.validity, now
+            )
+        for upstream_id, wait in reply.wait_by_upstream.items():
+            self._pacer.record_denied(upstream_id, wait, now)
+        self._metrics.count('permits.received', len(reply.permits))
+        self._metrics.count('permits.denied', len(reply.wait_by_upstream))
+        if pending.callback is None:
+            return
+        wait = max((permit.wait for permit in reply.permits), default=None)
+        pending.callback(wait, reply.retry_after)
+
+    def _deny_all(self, message: PermitRequest, now: Instant) -> None:
+        for need in message.needs:
+            for upstream in need:
+                self._pacer.record_denied(
+                    upstream.id, NO_COORDINATOR_DELAY, now
+                )
--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -49,6 +49,7 @@
 from sesametrack.platform.relay import Relay
 from sesametrack.programs.forwarder import Forwarder
 from sesametrack.programs.hint_exchange import HintExchange
+from sesametrack.programs.permit_exchange import PermitExchange
 from sesametrack.routing.desired_state import ClientLimits, DesiredState
 from sesametrack.routing.directory import UpstreamRecord
 from sesametrack.routing.retry_budget import BudgetRule, RetryBudget
@@ -181,6 +182,7 @@
             steady_time,
             rng,
         )
+        permit_address = f'{settings.address}:{settings.peer_ports[0] + 3}'
         self._registration = Registration(
             settings.platform,
             FleetVm(
@@ -189,12 +191,23 @@
                 relay_address,
                 peer_address,
                 grant_address,
+                permit_address,
             ),
             self._on_fleet_listed,
             steady_time,
             rng,
             is_first_start=settings.is_first_start,
         )
+        self._permit_exchange = PermitExchange(
+            settings.platform,
+            settings.vm,
+            permit_address,
+            self._forwarder.pacer,
+            self._metrics,
+            self._loop,
+            steady_time,
+            rng,
+        )
         self._unavailable_kinds: set[str] = set()
         self._has_preopened = False
         self._unservable_in_use: list[str] = []
@@ -209,7 +222,7 @@
         await self._readiness_server.start()
         await self._metrics_server.start()
         await self._caller_server.start()
-        self._forwarder.start()
+        self._forwarder.start(self._permit_exchange.request)
         self._check_reachability()
         await self._grant_endpoint.start()
         await self._subgather_server.start()
@@ -218,6 +231,7 @@
             is_first_start=self._settings.is_first_start
         )
         await self._hint_exchange.start()
+        await self._permit_exchange.start()
         await self._registration.start()
         for number in (SIGTERM, SIGINT):
             self._loop.add_signal_handler(number, self._stop_requested.set)
@@ -235,6 +249,7 @@
         started_at = steady_time()
         deadline = started_at + self._settings.stop_timeout_s - _CLOSE_RESERVE
         self._forwarder.readiness.is_stopping = True
+        self._permit_exchange.stop()
         log_event(_log, 'stopping', busy=self._forwarder.active_count)
         await sleep(min(_DEREGISTRATION_DELAY, deadline - started_at))
         self._caller_server.close_idle()
@@ -255,6 +270,7 @@
             task.cancel()
         await self._registration.close()
         await self._hint_exchange.close()
+        await self._permit_exchange.close()
         await self._object_watcher.close()
         await self._caller_server.close()
         await self._subgather_server.close()
@@ -373,6 +389,13 @@
         self._hint_exchange.peers = [
             one.peer_address for one in fleet if one.vm != self._settings.vm
         ]
+        self._permit_exchange.set_peers(
+            [
+                one.permit_address
+                for one in fleet
+                if one.permit_address and one.vm != self._settings.vm
+            ]
+        )
         domain = self._settings.failure_domain
         watchers = choose_watchers(fleet, domain)
         domain_size = sum(1 for one in fleet if one.failure_domain == domain)
@@ -448,7 +471,10 @@
         return HttpResponse(_OK if self.is_ready else _UNAVAILABLE)
 
     async def _handle_metrics(self, request: HttpRequest) -> HttpResponse:
-        self._metrics.gauge('store.calls', self._object_watcher.calls)
+        self._metrics.gauge(
+            'store.calls',
+            self._object_watcher.calls + self._permit_exchange.store_calls,
+        )
         return HttpResponse(
             _OK,
             self._metrics.render().encode(),
--- a/src/sesametrack/routing/calls.py
+++ b/src/sesametrack/routing/calls.py
@@ -12,14 +12,20 @@
     FailureKind,
     LogEvent,
     ReplyKind,
+    RequestPermits,
     Send,
     UpstreamReply,
 )
-from sesametrack.routing.pacing import ColdStartPacer
+from sesametrack.routing.pacing import UpstreamPacer
 from sesametrack.routing.retry_budget import RetryBudget
 from sesametrack.routing.selection import Selector
 from sesametrack.routing.timing import TimingTable
 
+# Interval at which a request without a permit looks for one: the time of a
+# round trip to the coordinator.
+_PERMIT_POLL_INTERVAL: Seconds = 0.004
+# How long permits are waited for that only a hedge, or a later request, uses.
+_SPARE_PERMIT_WAIT: Seconds = 0.05
 # Delay before the same upstreams are tried again.
 _RETRY_DELAY: Seconds = 0.008
 # How long a request without any attempt left waits for further ones.
@@ -27,7 +33,8 @@
 # Extra sends that hedges leave in the retry budget for retries.
 _HEDGE_RESERVE = 0.25
 _NEVER: Instant = float('inf')
-_MS = 1000
+# Reason of calls without an upstream that takes another request in time.
+RATE_LIMITED = 'rate-limit'
 
 
 @dataclass(slots=True)
@@ -37,7 +44,7 @@
     directory: UpstreamDirectory
     selector: Selector
     budget: RetryBudget
-    pacer: ColdStartPacer
+    pacer: UpstreamPacer
     timings: TimingTable
     next_attempt_id: Callable[[], int]
     max_outstanding: Callable[[ServiceId], int]
@@ -87,6 +94,8 @@
     is_finished: bool = False
     reason: str = ''
     wake_at: Instant = _NEVER
+    # When a permit may be had, if the call finished for want of one.
+    next_permit_at: Instant = 0
     _may_have_arrived: bool = False
     # Whether a hedge or retry waits for further attempts.
     _is_awaiting_grant: bool = False
@@ -181,7 +190,10 @@
         upstream = self._choose_upstream(now)
         if upstream is None:
             self._is_awaiting_grant = self.attempt_limit.may_grow
-            return []
+            requests = self._request_permits(now, has_alternative=False)
+            if requests:
+                self.wake_at = now + _PERMIT_POLL_INTERVAL
+            return requests
         if upstream.health.is_ejected(now):
             return []
         if not self.context.budget.spend(self.service, now, _HEDGE_RESERVE):
@@ -226,10 +238,47 @@
                 return []
             self._finish(self.reason or 'max-attempts')
             return []
+        reachable = [
+            upstream
+            for upstream in self._allowed_upstreams(usable)
+            if not upstream.health.is_unreachable
+        ]
+        pacer = self.context.pacer
+        if reachable and not any(pacer.allows(one, now) for one in reachable):
+            return self._wait_for_permit(reachable, now)
         self.wake_at = now + _RETRY_DELAY
         self.reason = self.reason or 'no-room'
         return []
 
+    def _wait_for_permit(
+        self, upstreams: list[Upstream], now: Instant
+    ) -> list[Action]:
+        """Request permits, or finish if none can be had in time."""
+        requests = self._request_permits(now, has_alternative=False)
+        self.next_permit_at = self.context.pacer.earliest_send_at(
+            upstreams, now
+        )
+        if self.next_permit_at >= (self.early_send_deadline or self.send_until):
+            self._finish(RATE_LIMITED)
+            return [self._make_event('call-over', RATE_LIMITED, now)]
+        self.wake_at = max(self.next_permit_at, now + _PERMIT_POLL_INTERVAL)
+        self.reason = self.reason or RATE_LIMITED
+        return requests
+
+    def _request_permits(
+        self, now: Instant, *, has_alternative: bool
+    ) -> list[Action]:
+        """Return a request for permits of the upstreams passed over."""
+        wanted = self.context.pacer.take_requests(
+            now, has_alternative=has_alternative
+        )
+        if not wanted:
+            return []
+        max_wait = _SPARE_PERMIT_WAIT
+        if not has_alternative and not self.has_pending:
+            max_wait = max(0, self.send_until - now)
+        return [RequestPermits([[one] for one in wanted], 0, max_wait)]
+
     def _start_attempt(
         self, upstream: Upstream, reason: str, now: Instant
     ) -> list[Action]:
@@ -243,7 +292,10 @@
             self.wake_at = now + timing.hedge_delay(self.route.target, now)
         is_early = now < self.early_send_deadline
         deadline = self.early_send_deadline if is_early else self.deadline
-        return [Send(attempt.id, upstream, deadline, self.service, reason)]
+        return [
+            Send(attempt.id, upstream, deadline, self.service, reason),
+            *self._request_permits(now, has_alternative=True),
+        ]
 
     def _choose_upstream(self, now: Instant) -> Upstream | None:
         usable = self.context.directory.usable(self.service)
--- a/src/sesametrack/routing/events.py
+++ b/src/sesametrack/routing/events.py
@@ -197,4 +197,32 @@
     max_attempts: int
 
 
-Action = Send | Deliver | LogEvent | CancelSubgather | GrantAttempts
+@dataclass(frozen=True, slots=True)
+class RequestPermits:
+    """Ask for permits to send to upstreams with a limited rate.
+
+    Each of the `needs` lists upstreams of which one is to get a request. If
+    fewer than `min_permits` can be had within `max_wait`, none is wanted.
+    The exchange is told of the result if it `is_admission`.
+    """
+
+    needs: list[list[Upstream]]
+    min_permits: int
+    max_wait: Seconds
+    is_admission: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Admit:
+    """Start the exchange that an admission has obtained permits for."""
+
+
+Action = (
+    Send
+    | Deliver
+    | LogEvent
+    | CancelSubgather
+    | GrantAttempts
+    | RequestPermits
+    | Admit
+)
--- a/src/sesametrack/routing/exchanges.py
+++ b/src/sesametrack/routing/exchanges.py
@@ -56,7 +56,7 @@
 NEVER: Instant = float('inf')
 _NONE_TRIED: Mapping[ServiceId, Iterable[UpstreamId]] = MappingProxyType({})
 # Decimal shares have no exact binary representation.
-_ROUNDING_TOLERANCE = 1e-9
+ROUNDING_TOLERANCE = 1e-9
 
 
 class Exchange(Protocol):
@@ -126,7 +126,7 @@
     if route.merge is None:
         return shards > 0
     least = route.merge.min_shard_share * len(route.shards)
-    return shards > 0 and shards >= least - _ROUNDING_TOLERANCE
+    return shards > 0 and shards >= least - ROUNDING_TOLERANCE
 
 
 class SingleExchange:
@@ -192,7 +192,8 @@
         if call.failed_reply is not None:
             return ForwardReply(call.failed_reply)
         if not call.may_have_run:
-            return Refusal(call.reason or 'deadline', RETRY_AFTER)
+            retry_after = max(RETRY_AFTER, call.next_permit_at - now)
+            return Refusal(call.reason or 'deadline', retry_after)
         is_late = now >= self._answer_deadline
         return Failure(call.reason or 'deadline', is_late)
 
--- a/src/sesametrack/routing/selection.py
+++ b/src/sesametrack/routing/selection.py
@@ -10,7 +10,7 @@
     UpstreamId,
 )
 from sesametrack.routing.directory import Upstream
-from sesametrack.routing.pacing import ColdStartPacer
+from sesametrack.routing.pacing import UpstreamPacer
 
 # A replica in another failure domain must be expected to be faster by this
 # factor and time: its traffic is billed, and its path is less reliable.
@@ -26,7 +26,7 @@
     """Selects by expected time and prefers this VM's failure domain."""
 
     def __init__(
-        self, domain: FailureDomainId, pacer: ColdStartPacer, rng: Random
+        self, domain: FailureDomainId, pacer: UpstreamPacer, rng: Random
     ) -> None:
         """Create a selector for a VM in the given failure domain."""
         self._domain = domain
@@ -49,7 +49,8 @@
         cannot be hedged need conservative estimates.
 
         Ejected upstreams are a last resort. Unreachable ones are skipped
-        until a connection to them can be opened again.
+        until a connection to them can be opened again. Upstreams that are
+        skipped for want of a permit are recorded by the pacer.
         """
         best: Upstream | None = None
         best_rank = (True, float('inf'))
@@ -60,6 +61,7 @@
             if health.outstanding >= max_outstanding:
                 continue
             if not self._pacer.allows(upstream, now):
+                self._pacer.record_passed_over(upstream)
                 continue
             rank = (
                 health.is_ejected(now),
--- a/src/sesametrack/vms/watchers.py
+++ b/src/sesametrack/vms/watchers.py
@@ -27,7 +27,8 @@
 
     `relay_address` serves the store's objects to followers, `peer_address`
     receives datagrams and sub-gathers from other VMs, `grant_address` grants
-    of further attempts. It is empty if the VM takes no grants.
+    of further attempts, `permit_address` requests for permits. These are
+    empty for VMs of older versions, which take none.
     """
 
     vm: VmId
@@ -35,6 +36,7 @@
     relay_address: Address
     peer_address: Address
     grant_address: Address = ''
+    permit_address: Address = ''
 
 
 def choose_watchers(
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -113,6 +113,13 @@
             name = received['meta']['name']
             if name in by_name:
                 return json_response(409, by_name[name])
+        elif name not in by_name:
+            return json_response(404, {})
+        elif (
+            received['meta'].get('rev', by_name[name]['meta']['rev'])
+            != (by_name[name]['meta']['rev'])
+        ):
+            return json_response(409, by_name[name])
         stored = await self._store(kind, name, received['spec'])
         if self.lost_writes:
             self.lost_writes -= 1
--- a/standins/searcher.py
+++ b/standins/searcher.py
@@ -39,6 +39,8 @@
 
     delay_s: float = 0
     fault: str = ''
+    # Requests per second that replies state as the searcher's limit.
+    limit_per_s: float | None = None
     # Number of faulty replies before the searcher recovers; None for no limit.
     faults_left: int | None = None
 
@@ -144,6 +146,8 @@
             'Server-Load': '1,0,2',
             'Keep-Alive': 'timeout=5',
         }
+        if self.plan.limit_per_s is not None:
+            headers['Server-Limit'] = str(self.plan.limit_per_s)
         intact = _reply(200, headers, body)
         builders: dict[str, Callable[[], bytes]] = {
             '': lambda: intact,
--- a/tests/test_exchange_driver.py
+++ b/tests/test_exchange_driver.py
@@ -68,6 +68,7 @@
         Readiness(),
         lambda service: 1,
         lambda peer_id, grant: grants.append(grant),
+        lambda request, callback: None,
         Metrics(None, ''),
         get_running_loop(),
         monotonic,
