--- a/src/sesametrack/programs/forwarder.py
+++ b/src/sesametrack/programs/forwarder.py
@@ -41,7 +41,7 @@
 from sesametrack.routing.aggregators import AGGREGATOR_SERVICE, Aggregators
 from sesametrack.routing.calls import CallContext
 from sesametrack.routing.desired_state import Route
-from sesametrack.routing.directory import UpstreamDirectory
+from sesametrack.routing.directory import Upstream, UpstreamDirectory
 from sesametrack.routing.events import CallerRequest, Refusal, RequestPermits
 from sesametrack.routing.exchanges import (
     Exchange,
@@ -359,6 +359,12 @@
             )
         )
 
+    def report_limit_news(
+        self, upstream: Upstream, before: float | None
+    ) -> None:
+        """Report a limit that changed by what another VM heard."""
+        self._driver.limit_reports.report_change(upstream, before, 'hint')
+
     def on_attempts_granted(self, grant: AttemptGrant) -> None:
         """Let a sub-gather of another VM use further attempts."""
         self._driver.on_attempts_granted(grant)
--- a/src/sesametrack/programs/hint_exchange.py
+++ b/src/sesametrack/programs/hint_exchange.py
@@ -13,7 +13,7 @@
     VmId,
 )
 from sesametrack.links.datagrams import DatagramEndpoint
-from sesametrack.routing.directory import UpstreamDirectory
+from sesametrack.routing.directory import Upstream, UpstreamDirectory
 from sesametrack.routing.hints import (
     HintMessage,
     PeerReachability,
@@ -45,6 +45,7 @@
         domain: FailureDomainId,
         address: Address,
         directory: UpstreamDirectory,
+        on_limit: Callable[[Upstream, float | None], None],
         metrics: Metrics,
         loop: AbstractEventLoop,
         now: Callable[[], Instant],
@@ -60,6 +61,7 @@
         self._vm = vm
         self._domain = domain
         self._directory = directory
+        self._on_limit = on_limit
         self._metrics = metrics
         self._loop = loop
         self._now = now
@@ -104,7 +106,9 @@
     def _on_message(self, message: HintMessage, address: Address) -> None:
         now = self._now()
         self.peer_reachability.observe(message, now)
-        upstream_ids = apply_hints(self._directory, message, self._domain, now)
+        upstream_ids = apply_hints(
+            self._directory, message, self._domain, now, self._on_limit
+        )
         self._metrics.count('hints.taken', len(upstream_ids))
         if upstream_ids:
             log_event(
--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -177,6 +177,7 @@
             settings.failure_domain,
             peer_address,
             self._forwarder.directory,
+            self._forwarder.report_limit_news,
             self._metrics,
             self._loop,
             steady_time,
--- a/src/sesametrack/routing/hints.py
+++ b/src/sesametrack/routing/hints.py
@@ -1,5 +1,7 @@
 """Hints that VMs exchange about slow, failing and unreachable upstreams."""
 
+from collections.abc import Callable
+
 from msgspec import Struct
 
 from sesametrack.contracts.types import (
@@ -21,18 +23,43 @@
 _UNRESPONSIVE_SLOWNESS = 8.0
 # Messages are sent at least once a second, and two may be lost.
 _MESSAGE_TTL: Seconds = 2.5
+# How long a limit that was set, changed or ended is told.
+_LIMIT_NEWS_TIME: Seconds = 2
 # Keeps a datagram, at about 30 bytes per hint, below the smallest usual MTU.
 _MAX_HINTS = 32
 
 
+class LimitNews(Struct, frozen=True, array_like=True):
+    """The limit that an upstream stated, and the time since it was heard.
+
+    `per_s` is in requests per second from all VMs, None after the end of a
+    limit.
+    """
+
+    per_s: float | None
+    age: Seconds
+
+
 class Hint(Struct, frozen=True, array_like=True):
-    """Recent measurements of one incarnation of an upstream by one VM."""
+    """Recent measurements of one incarnation of an upstream by one VM.
+
+    The limit is given for a while after it was set, changed or ended. Older
+    versions don't send it.
+    """
 
     upstream: UpstreamId
     started_ms: Milliseconds
     slowness: float
     failure_rate: float
     is_unreachable: bool
+    limit: LimitNews | None = None
+
+    @property
+    def is_about_health(self) -> bool:
+        """Return whether the upstream is slow or failing."""
+        return (
+            self.slowness >= _SLOW_RATIO or self.failure_rate >= _FAILING_RATE
+        )
 
 
 class HintMessage(Struct, frozen=True, array_like=True):
@@ -84,9 +111,13 @@
     message: HintMessage,
     own_domain: FailureDomainId,
     now: Instant,
+    on_limit: Callable[[Upstream, float | None], None],
 ) -> list[UpstreamId]:
     """Apply a peer's hints; return the upstreams with new hints.
 
+    `on_limit` is called with each upstream whose limit changes by what the
+    peer heard, and the limit before.
+
     A hint that an upstream is unreachable is ignored unless the peer is in
     the failure domain of this VM or of the upstream. Otherwise the network
     between the peer's domain and the upstream's may be partitioned.
@@ -96,14 +127,30 @@
         upstream = directory.by_id.get(hint.upstream)
         if upstream is None or upstream.record.started_ms != hint.started_ms:
             continue
+        before = upstream.rate_limit.per_s
+        if _apply_limit(hint, upstream, now):
+            on_limit(upstream, before)
         nearby_domains = {own_domain, upstream.record.failure_domain}
         if hint.is_unreachable and message.failure_domain not in nearby_domains:
             continue
-        if upstream.health.record_hint(hint.slowness, hint.failure_rate, now):
+        if _apply_health(hint, upstream, now):
             updated.append(hint.upstream)
     return updated
 
 
+def _apply_limit(hint: Hint, upstream: Upstream, now: Instant) -> bool:
+    if hint.limit is None:
+        return False
+    heard_at = now - max(0, hint.limit.age)
+    return upstream.rate_limit.record_news(hint.limit.per_s, heard_at)
+
+
+def _apply_health(hint: Hint, upstream: Upstream, now: Instant) -> bool:
+    if not hint.is_about_health:
+        return False
+    return upstream.health.record_hint(hint.slowness, hint.failure_rate, now)
+
+
 def _make_hint(upstream: Upstream, now: Instant) -> Hint | None:
     health = upstream.health
     is_unresponsive = health.oldest_attempt_age(now) > _UNRESPONSIVE_TIME
@@ -112,12 +159,19 @@
     failure_rate = health.failure_rate if is_fresh else 0
     if is_unresponsive or health.is_unreachable:
         slowness = _UNRESPONSIVE_SLOWNESS
-    if slowness < _SLOW_RATIO and failure_rate < _FAILING_RATE:
-        return None
-    return Hint(
+    hint = Hint(
         upstream.id,
         upstream.record.started_ms,
         round(slowness, 1),
         round(failure_rate, 2),
         health.is_unreachable or is_unresponsive,
+        _make_limit_news(upstream, now),
     )
+    return hint if hint.is_about_health or hint.limit is not None else None
+
+
+def _make_limit_news(upstream: Upstream, now: Instant) -> LimitNews | None:
+    limit = upstream.rate_limit
+    if now - limit.changed_at > _LIMIT_NEWS_TIME:
+        return None
+    return LimitNews(limit.per_s, round(now - limit.heard_at, 3))
--- a/src/sesametrack/routing/rate_limits.py
+++ b/src/sesametrack/routing/rate_limits.py
@@ -27,6 +27,8 @@
 
     per_s: float | None = None
     heard_at: Instant = float('-inf')
+    # When the limit was last set, changed or ended.
+    changed_at: Instant = float('-inf')
 
     def record_reply(
         self, per_s: float | None, sent_at: Instant, now: Instant
@@ -49,6 +51,8 @@
 
     def _set(self, per_s: float | None, heard_at: Instant) -> bool:
         is_changed = per_s != self.per_s
+        if is_changed:
+            self.changed_at = heard_at
         self.per_s = per_s
         self.heard_at = heard_at
         return is_changed
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -24,6 +24,7 @@
     def setUp(self) -> None:
         """Create the directories of two VMs with the same upstreams."""
         super().setUp()
+        self.changes: list[tuple] = []
         self.local = make_directory(['s'], 2)
         self.remote = make_directory(['s'], 2)
 
@@ -34,7 +35,15 @@
         message = HintMessage(
             'vm-2', peer_domain, collect_hints(self.remote, now)
         )
-        return apply_hints(self.local, message, own_domain, now)
+        return apply_hints(
+            self.local,
+            message,
+            own_domain,
+            now,
+            lambda upstream, before: self.changes.append(
+                (upstream.id, before, upstream.rate_limit.per_s)
+            ),
+        )
 
     def record_slow_reply(
         self, directory: UpstreamDirectory, now: float
@@ -54,6 +63,39 @@
         """Return an upstream in the local VM's directory."""
         return self.local.by_id[upstream_id]
 
+    def test_limit(self) -> None:
+        """A VM hears of a limit, its change and its end from another one.
+
+        Its estimate of the upstream's speed stays as it was.
+        """
+        limit = self.remote.by_id['s-0'].rate_limit
+        expected = self.expected_time(1.1)
+        limit.record_reply(3, 0.9, 1)
+        self.assertEqual([], self.send_hints(1.1))
+        self.assertEqual(expected, self.expected_time(1.1))
+        limit.record_reply(2, 1.1, 1.2)
+        self.send_hints(1.3)
+        limit.record_reply(None, 1.4, 1.5)
+        self.send_hints(1.6)
+        self.assertEqual(
+            [('s-0', None, 3), ('s-0', 3, 2), ('s-0', 2, None)], self.changes
+        )
+        self.assertEqual([], collect_hints(self.remote, 5))
+
+    def test_older_news(self) -> None:
+        """What this VM heard itself is not replaced by older news."""
+        self.remote.by_id['s-0'].rate_limit.record_reply(3, 0.9, 1)
+        self.upstream('s-0').rate_limit.record_reply(8, 1, 1.1)
+        self.send_hints(1.2)
+        self.assertEqual(8, self.upstream('s-0').rate_limit.per_s)
+
+    def test_news_of_another_incarnation(self) -> None:
+        """The limit of an upstream ends with its process."""
+        self.remote.by_id['s-0'].rate_limit.record_reply(3, 0.9, 1)
+        self.local.apply_record(make_record('s-0', 's', started_ms=2), 1)
+        self.send_hints(1.1)
+        self.assertEqual([], self.changes)
+
     def test_slow_upstream(self) -> None:
         """A hint raises the expected time of an upstream, then decays."""
         for now in (1, 1.2, 1.4):
