--- a/src/sesametrack/platform/object_watcher.py
+++ b/src/sesametrack/platform/object_watcher.py
@@ -110,6 +110,7 @@
         self._tasks: list[Task] = []
         self._connection_by_kind: dict[str, StoreConnection] = {}
         self._failures_by_kind: dict[str, int] = {}
+        self._era_by_kind: dict[str, int | None] = {}
         self._evacuated_domains: set[FailureDomainId] = set()
 
     @property
@@ -221,6 +222,7 @@
         source = self._sources.current(self._now())
         connection.set_address(source, is_relay=source != self._sources.store)
         objects, revision = await connection.list_objects(kind)
+        self._log_era(connection, kind, revision)
         if connection.address == self._sources.store:
             self._relay.apply_listing(kind, objects, revision)
             self._record_store_reply(kind)
@@ -229,6 +231,22 @@
         on_list(objects)
         await self._watch(connection, kind, revision, wait, on_change)
 
+    def _log_era(
+        self, connection: StoreConnection, kind: str, revision: int
+    ) -> None:
+        before = self._era_by_kind.get(kind)
+        if connection.era != before:
+            log_event(
+                _log,
+                'store-era',
+                kind=kind,
+                era=connection.era,
+                before=before,
+                revision=revision,
+                source=connection.address,
+            )
+        self._era_by_kind[kind] = connection.era
+
     async def _watch(
         self,
         connection: StoreConnection,
--- a/src/sesametrack/platform/store.py
+++ b/src/sesametrack/platform/store.py
@@ -30,6 +30,9 @@
 _MS_PER_S = 1000
 # Content coding of relays: the zlib format (RFC 9110, section 8.4.1.2).
 RELAY_CODING = 'deflate'
+# Counts how often the store came back from an older copy. It is in the headers
+# of all replies of the store, and of relays for the copy that they serve.
+ERA_HEADER = 'store-era'
 _OK = 200
 _CREATED = 201
 _NOT_FOUND = 404
@@ -95,6 +98,8 @@
         self._http: HttpConnection | None = None
         self._read_headers: dict[str, str] = {}
         self.calls = 0
+        # Of the last reply; None if it had none.
+        self.era: int | None = None
 
     @property
     def address(self) -> Address:
@@ -219,13 +224,16 @@
         if self._http is None or not self._http.is_reusable:
             await self._connect()
         try:
-            return await self._http.exchange(request, timeout)
+            reply = await self._http.exchange(request, timeout)
         except (OSError, EOFError, TimeoutError, ProtocolError) as error:
             self.close()
             raise PlatformLostReplyError(f'{error!r}') from error
         except BaseException:
             self.close()
             raise
+        era = reply.headers.get(ERA_HEADER, '')
+        self.era = int(era) if era.isdecimal() else None
+        return reply
 
     async def _connect(self) -> None:
         self.close()
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -1,6 +1,8 @@
 """Simulates the platform store: kinds, revisions and watches."""
 
 from asyncio import Condition, sleep, wait_for
+from copy import deepcopy
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
@@ -13,12 +15,22 @@
 _MS_PER_S = 1000
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """The objects and the history of a store at one revision."""
+
+    revision: int
+    objects_by_kind: dict[str, dict[str, dict]]
+    history: list[tuple[int, str, dict, bool]]
+
+
 class ObjectStoreStandin:
     """Objects by kind and name, kept in memory, with injected faults.
 
     `refusal` is the HTTP status of every response while it is set, `delay_s`
     the delay of each response, and `lost_writes` the number of next writes
-    that are applied but get no response.
+    that are applied but get no response. `era` is in the header of every
+    response, and rises with each restore from a copy.
     """
 
     def __init__(self, host: str, port: int, page_size: int = 500) -> None:
@@ -28,6 +40,7 @@
         self.lost_writes = 0
         self.calls = 0
         self.revision = 1
+        self.era = 1
         self._page_size = page_size
         self._compacted_revision = 0
         self._server = HttpServer(host, port, self._handle)
@@ -62,6 +75,25 @@
         async with self._changed:
             self._changed.notify_all()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all objects, for a later restore."""
+        return StoreCopy(
+            self.revision, deepcopy(self._objects_by_kind), list(self._history)
+        )
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy, and give the later revisions out again.
+
+        Connections and pending watches stay open. What was written since the
+        copy is gone.
+        """
+        self.era += 1
+        self.revision = copy.revision
+        self._objects_by_kind = deepcopy(copy.objects_by_kind)
+        self._history = list(copy.history)
+        async with self._changed:
+            self._changed.notify_all()
+
     def names(self, kind: str) -> list[str]:
         """Return the sorted names of a kind's objects."""
         return sorted(self._objects_by_kind.get(kind, {}))
@@ -85,6 +117,14 @@
             self._changed.notify_all()
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
+        response = await self._respond(request)
+        return HttpResponse(
+            response.status,
+            response.body,
+            {**response.headers, 'store-era': str(self.era)},
+        )
+
+    async def _respond(self, request: HttpRequest) -> HttpResponse:
         self.calls += 1
         if self.delay_s:
             await sleep(self.delay_s)
@@ -138,6 +178,8 @@
 
     async def _watch(self, kind: str, query: dict[str, str]) -> HttpResponse:
         after = int(query['watch'])
+        if after > self.revision:
+            return HttpResponse(410)
         compacted_revision = self._compacted_revision
         try:
             await wait_for(
@@ -146,7 +188,7 @@
             )
         except TimeoutError:
             return self._changes(kind, after)
-        if after < self._compacted_revision:
+        if after < self._compacted_revision or after > self.revision:
             return HttpResponse(410)
         return self._changes(kind, after)
 
