--- a/src/sesametrack/contracts/exceptions.py
+++ b/src/sesametrack/contracts/exceptions.py
@@ -63,6 +63,10 @@
     """A watch starts at a revision that the platform no longer keeps."""
 
 
+class StoreRestoredError(RevisionExpiredError):
+    """The store came back from an older copy since the last listing."""
+
+
 class ConflictError(PlatformError):
     """A conditional write found a different version than it expected."""
 
--- a/src/sesametrack/platform/object_watcher.py
+++ b/src/sesametrack/platform/object_watcher.py
@@ -111,6 +111,8 @@
         self._connection_by_kind: dict[str, StoreConnection] = {}
         self._failures_by_kind: dict[str, int] = {}
         self._era_by_kind: dict[str, int | None] = {}
+        # Kinds whose watch this VM itself has ended.
+        self._ended_kinds: set[str] = set()
         self._evacuated_domains: set[FailureDomainId] = set()
 
     @property
@@ -200,9 +202,9 @@
             delay = _MIN_RETRY_DELAY
             try:
                 await self._list_and_watch(kind, wait, on_list, on_change)
-            except RevisionExpiredError:
+            except RevisionExpiredError as error:
                 self._relay.mark_unavailable(kind)
-                log_event(_log, 'history-gone', kind=kind)
+                log_event(_log, 'history-gone', kind=kind, problem=str(error))
             except PlatformError as error:
                 delay = self._handle_failure(kind, error)
             except Exception:
@@ -221,8 +223,9 @@
         connection = self._connection_by_kind[kind]
         source = self._sources.current(self._now())
         connection.set_address(source, is_relay=source != self._sources.store)
+        self._ended_kinds.discard(kind)
         objects, revision = await connection.list_objects(kind)
-        self._log_era(connection, kind, revision)
+        self._record_era(connection, kind, revision)
         if connection.address == self._sources.store:
             self._relay.apply_listing(kind, objects, revision)
             self._record_store_reply(kind)
@@ -231,9 +234,14 @@
         on_list(objects)
         await self._watch(connection, kind, revision, wait, on_change)
 
-    def _log_era(
+    def _record_era(
         self, connection: StoreConnection, kind: str, revision: int
     ) -> None:
+        """Record the era of a listing, and end watches of a former one.
+
+        The store may hold a watch of another kind for long without a reply
+        that would show the new era.
+        """
         before = self._era_by_kind.get(kind)
         if connection.era != before:
             log_event(
@@ -246,6 +254,15 @@
                 source=connection.address,
             )
         self._era_by_kind[kind] = connection.era
+        for other, era in self._era_by_kind.items():
+            if other != kind and era != connection.era:
+                self._end_direct_watch(other)
+
+    def _end_direct_watch(self, kind: str) -> None:
+        connection = self._connection_by_kind[kind]
+        if connection.address == self._sources.store:
+            self._ended_kinds.add(kind)
+            connection.close()
 
     async def _watch(
         self,
@@ -288,6 +305,10 @@
 
     def _handle_failure(self, kind: str, error: PlatformError) -> Seconds:
         """Report the first failure; return the delay before the next try."""
+        if kind in self._ended_kinds:
+            self._ended_kinds.discard(kind)
+            self._relay.mark_unavailable(kind)
+            return _MIN_RETRY_DELAY
         source = self._connection_by_kind[kind].address
         if source != self._sources.store:
             log_event(_log, 'relay-lost', relay=source, problem=str(error))
--- a/src/sesametrack/platform/store.py
+++ b/src/sesametrack/platform/store.py
@@ -15,6 +15,7 @@
     PlatformUnavailableError,
     ProtocolError,
     RevisionExpiredError,
+    StoreRestoredError,
 )
 from sesametrack.contracts.types import Address, Seconds
 from sesametrack.links.http import HttpRequest, HttpResponse
@@ -87,7 +88,8 @@
     """One connection to the store or a relay, for one call at a time.
 
     Every failure closes the connection. Reads raise
-    PlatformUnavailableError or RevisionExpiredError. Writes raise
+    PlatformUnavailableError or RevisionExpiredError, or StoreRestoredError if
+    the reply belongs to another history than the listing. Writes raise
     PlatformUnavailableError, ConflictError, or PlatformLostReplyError if
     they may have taken effect.
     """
@@ -100,6 +102,7 @@
         self.calls = 0
         # Of the last reply; None if it had none.
         self.era: int | None = None
+        self._listed_era: int | None = None
 
     @property
     def address(self) -> Address:
@@ -129,6 +132,9 @@
         objects: list[StoreObject] = []
         revision: int | None = None
         async for page in self._pages(kind, allow_stale):
+            if revision is None:
+                self._listed_era = self.era
+            self._require_listed_era(kind)
             objects.extend(page.objects)
             # A watch from the first page's revision returns the changes that
             # were made between the pages.
@@ -139,6 +145,7 @@
         """Return the changes after a revision; none if the wait time ends."""
         query = {'watch': after, 'wait_ms': int(wait * _MS_PER_S)}
         reply = await self._read(kind, query, wait + _WATCH_TIMEOUT_MARGIN)
+        self._require_listed_era(kind)
         return self._decode(_batch_decoder, reply)
 
     async def create(self, kind: str, name: str, spec: Any) -> int:
@@ -244,6 +251,12 @@
             raise PlatformUnavailableError(f'{error!r}') from error
         self._http = connection
 
+    def _require_listed_era(self, kind: str) -> None:
+        if self.era != self._listed_era:
+            raise StoreRestoredError(
+                f'{kind}: era {self.era} after {self._listed_era}'
+            )
+
     def _require_success(self, reply: HttpResponse) -> None:
         if reply.status not in {_OK, _CREATED}:
             self.close()
