--- a/src/sesametrack/platform/object_watcher.py
+++ b/src/sesametrack/platform/object_watcher.py
@@ -10,6 +10,7 @@
 
 from sesametrack.contracts.exceptions import (
     PlatformError,
+    PlatformUnavailableError,
     RevisionExpiredError,
 )
 from sesametrack.contracts.types import (
@@ -225,15 +226,25 @@
         connection.set_address(source, is_relay=source != self._sources.store)
         self._ended_kinds.discard(kind)
         objects, revision = await connection.list_objects(kind)
+        self._require_current_era(connection)
         self._record_era(connection, kind, revision)
         if connection.address == self._sources.store:
-            self._relay.apply_listing(kind, objects, revision)
+            self._relay.apply_listing(kind, objects, revision, connection.era)
             self._record_store_reply(kind)
         if self._failures_by_kind.pop(kind, 0):
             self._listener.on_store_regained(kind)
         on_list(objects)
         await self._watch(connection, kind, revision, wait, on_change)
 
+    def _require_current_era(self, connection: StoreConnection) -> None:
+        """Refuse a listing of a relay that has not heard of a restore."""
+        known_eras = [era for era in self._era_by_kind.values() if era]
+        latest = max(known_eras, default=0)
+        if connection.era is not None and connection.era < latest:
+            raise PlatformUnavailableError(
+                f'era {connection.era} is over, {latest} is known'
+            )
+
     def _record_era(
         self, connection: StoreConnection, kind: str, revision: int
     ) -> None:
--- a/src/sesametrack/platform/relay.py
+++ b/src/sesametrack/platform/relay.py
@@ -20,7 +20,12 @@
 from sesametrack.contracts.types import Address, Instant, Seconds
 from sesametrack.links.http import HttpRequest, HttpResponse
 from sesametrack.links.http_server import HttpServer
-from sesametrack.platform.store import RELAY_CODING, ChangeBatch, StoreObject
+from sesametrack.platform.store import (
+    ERA_HEADER,
+    RELAY_CODING,
+    ChangeBatch,
+    StoreObject,
+)
 
 _PREFIX = '/sesametrack/objects/'
 _OK = 200
@@ -38,6 +43,8 @@
 
 @dataclass(slots=True)
 class _KindState:
+    # Of the store's history that the objects belong to, None if unknown.
+    era: int | None = None
     revision: int = 0
     oldest_revision: int = 0
     object_by_name: dict[str, StoreObject] = field(default_factory=dict)
@@ -100,14 +107,19 @@
             _notify_watches(state)
 
     def apply_listing(
-        self, kind: str, objects: list[StoreObject], revision: int
+        self,
+        kind: str,
+        objects: list[StoreObject],
+        revision: int,
+        era: int | None = None,
     ) -> None:
-        """Replace all objects of a kind by a complete listing."""
+        """Replace all objects of a kind by a complete listing of an era."""
         state = self._state_by_kind.setdefault(kind, _KindState())
         state.object_by_name = {one.meta.name: one for one in objects}
         state.history.clear()
         state.is_unavailable = False
         state.is_listed = True
+        state.era = era
         state.revision = revision
         state.oldest_revision = revision
         _notify_watches(state)
@@ -157,7 +169,9 @@
         if is_stale or state.is_unavailable:
             return HttpResponse(_UNAVAILABLE)
         after = int(query['watch']) if 'watch' in query else None
-        if after is not None and after < state.oldest_revision:
+        if after is not None and not (
+            state.oldest_revision <= after <= state.revision
+        ):
             return HttpResponse(_GONE)
         return _build_response(state, after, is_compressed=is_compressed)
 
@@ -178,6 +192,8 @@
             body = compress(body, _COMPRESSION_LEVEL)
         state.body_by_query[key] = body
     headers = {'content-type': 'application/json'}
+    if state.era is not None:
+        headers[ERA_HEADER] = str(state.era)
     if is_compressed:
         headers['content-encoding'] = RELAY_CODING
     return HttpResponse(_OK, body, headers)
@@ -193,7 +209,7 @@
 
 def _list_changes(state: _KindState, after: int) -> dict[str, object]:
     events = [change for revision, change in state.history if revision > after]
-    return {'events': events, 'store_revision': max(state.revision, after)}
+    return {'events': events, 'store_revision': state.revision}
 
 
 def _notify_watches(state: _KindState) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,11 +1,15 @@
 """Relays of the store's objects and the VMs that watch at them."""
 
-from asyncio import create_task, run, sleep
+from asyncio import create_task, gather, run, sleep
 from random import Random
 from time import monotonic
 
-from testtools import TestCase
+from testtools import ExpectedException, TestCase
 
+from sesametrack.contracts.exceptions import (
+    RevisionExpiredError,
+    StoreRestoredError,
+)
 from sesametrack.links.http import HttpRequest, HttpResponse
 from sesametrack.links.http_client import HttpConnection
 from sesametrack.platform.object_watcher import (
@@ -294,6 +298,78 @@
         return statuses
 
 
+class RelayEraTest(TestCase):
+    """A relay that has listed a store that came back from an older copy."""
+
+    # Guards against a follower that waits for revisions of the former history.
+    def test_lower_revision(self) -> None:
+        """A watch from a revision that the relay doesn't have fails."""
+        run(self.watch_after(60, RevisionExpiredError))
+
+    # Guards against a follower that misses what lies below its revision, which
+    # the new history has passed meanwhile.
+    def test_revisions_given_out_again(self) -> None:
+        """A watch from the same revision of another history fails."""
+        run(self.watch_after(120, StoreRestoredError))
+
+    async def watch_after(
+        self, revision: int, expected: type[Exception]
+    ) -> None:
+        """List at revision 100, then watch when the relay is elsewhere."""
+        relay = Relay(f'{_HOST}:{_FIRST_RELAY_PORT}', monotonic, 9)
+        await relay.start()
+        connection = StoreConnection(f'{_HOST}:{_FIRST_RELAY_PORT}')
+        try:
+            relay.apply_listing('config', [], 100, 1)
+            relay.record_store_reply()
+            await connection.list_objects('config')
+            relay.apply_listing('config', [], 60, 2)
+            if revision > 60:
+                batch = ChangeBatch([Change(make_objects(1, 61)[0])], revision)
+                relay.apply_changes('config', batch)
+            with ExpectedException(expected):
+                await connection.watch('config', 100, 0.2)
+            _, listed_revision = await connection.list_objects('config')
+            self.assertEqual((revision, 2), (listed_revision, connection.era))
+        finally:
+            connection.close()
+            await relay.close()
+
+    def test_relay_behind(self) -> None:
+        """A listing of a former era is refused, and another source is used."""
+        run(self.list_from_relay_behind())
+
+    async def list_from_relay_behind(self) -> None:
+        """Let one relay of two stay in the former era."""
+        fleet = make_fleet(_VM_COUNT)
+        watchers = choose_watchers(fleet, 'north')
+        follower = Vm(next(one for one in fleet if one not in watchers), fleet)
+        first = follower.sources.current(0)
+        watchers.sort(key=lambda one: one.relay_address != first)
+        behind, ahead = [
+            Relay(one.relay_address, monotonic, 9) for one in watchers
+        ]
+        await behind.start()
+        await ahead.start()
+        try:
+            for kind in ('config', 'servers', 'evacuations'):
+                spec = {'config_version': 2}
+                objects = [StoreObject(ObjectMeta('main', 3), spec)]
+                ahead.apply_listing(kind, objects, 60, 2)
+                behind.apply_listing(kind, [], 100, 1)
+            behind.apply_listing('servers', [], 60, 2)
+            for relay in (ahead, behind):
+                relay.record_store_reply()
+            await follower.start()
+            for _ in range(_MAX_POLLS):
+                if follower.listener.version == 2:
+                    return
+                await sleep(_POLL_INTERVAL_S)
+            self.assertEqual(2, follower.listener.version)
+        finally:
+            await gather(follower.close(), behind.close(), ahead.close())
+
+
 class SourcesTest(TestCase):
     """Choice of the watchers, and of the source of each VM."""
 
