--- a/src/sesametrack/platform/object_watcher.py
+++ b/src/sesametrack/platform/object_watcher.py
@@ -84,6 +84,13 @@
     def on_store_regained(self, kind: str) -> None:
         """Handle the first listing of a kind after failed calls."""
 
+    def on_store_restored(self, era: int) -> None:
+        """Handle that the store has come back from an older copy.
+
+        The next listing of each kind may lack objects, or have them as they
+        were before.
+        """
+
 
 class ObjectWatcher:
     """Watches the store's objects, at the store itself or at a relay.
@@ -112,6 +119,7 @@
         self._connection_by_kind: dict[str, StoreConnection] = {}
         self._failures_by_kind: dict[str, int] = {}
         self._era_by_kind: dict[str, int | None] = {}
+        self._latest_era = 0
         # Kinds whose watch this VM itself has ended.
         self._ended_kinds: set[str] = set()
         self._evacuated_domains: set[FailureDomainId] = set()
@@ -238,11 +246,10 @@
 
     def _require_current_era(self, connection: StoreConnection) -> None:
         """Refuse a listing of a relay that has not heard of a restore."""
-        known_eras = [era for era in self._era_by_kind.values() if era]
-        latest = max(known_eras, default=0)
-        if connection.era is not None and connection.era < latest:
+        era = connection.era
+        if era is not None and era < self._latest_era:
             raise PlatformUnavailableError(
-                f'era {connection.era} is over, {latest} is known'
+                f'era {era} is over, {self._latest_era} is known'
             )
 
     def _record_era(
@@ -264,6 +271,11 @@
                 revision=revision,
                 source=connection.address,
             )
+        if connection.era is not None and connection.era > self._latest_era:
+            is_restored = self._latest_era > 0
+            self._latest_era = connection.era
+            if is_restored:
+                self._listener.on_store_restored(connection.era)
         self._era_by_kind[kind] = connection.era
         for other, era in self._era_by_kind.items():
             if other != kind and era != connection.era:
--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -376,6 +376,12 @@
         self._store_recovered_at = steady_time()
         log_event(_log, 'store-regained', kind=kind)
 
+    def on_store_restored(self, era: int) -> None:
+        """Record that entries may be missing until they are written again."""
+        self._store_recovered_at = steady_time()
+        self._metrics.count('store.restored')
+        log_event(_log, 'store-restored', 30, era=era)
+
     def _is_after_outage(self) -> bool:
         return steady_time() < self._store_recovered_at + _RECOVERY_WINDOW
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -94,6 +94,9 @@
     def on_store_regained(self, kind: str) -> None:
         """Ignore the recovery of the store."""
 
+    def on_store_restored(self, era: int) -> None:
+        """Ignore that the store came back from a copy."""
+
 
 class Vm:
     """Relay and object watcher of one VM."""
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -7,8 +7,10 @@
 
 from testtools import TestCase
 
+from sesametrack.contracts.types import UpstreamId
 from standins.object_store import ObjectStoreStandin
 from tests.test_relay import Vm, make_fleet
+from tests.test_router_path import Deployment
 
 _HOST = '127.1.4.1'
 _STORE_PORT = 9400
@@ -17,6 +19,9 @@
 _POLL_INTERVAL_S = 0.02
 # Watches start again well within this time after a change.
 _WATCH_START_S = 1
+# Upstreams write their entries again within two seconds after a restore; a
+# watch of theirs ends at most 2.5 s after it.
+_REWRITE_POLLS = 190
 
 
 def make_entry(number: int) -> dict[str, object]:
@@ -114,3 +119,49 @@
             for vm in vms
         ]
         raise AssertionError(f'not known to all VMs: {version} {known}')
+
+
+class RouterRestoreTest(TestCase):
+    """A router, when its store comes back from an older copy."""
+
+    # Guards against upstreams that are dropped because the copy is older than
+    # their entries.
+    def test_missing_upstream(self) -> None:
+        """An upstream that the copy lacks is kept until it writes again."""
+        run(self.run_missing_upstream(Deployment()))
+
+    async def run_missing_upstream(self, deployment: Deployment) -> None:
+        """Restore a copy that was made before an upstream's entry."""
+        try:
+            await deployment.start()
+            store, searcher = deployment.store, deployment.searchers[3]
+            await store.remove('servers', searcher.id)
+            await self.wait_until(deployment, searcher.id, is_listed=False)
+            copy = store.copy()
+            await store.put('servers', searcher.id, searcher.entry)
+            await self.wait_until(deployment, searcher.id, is_listed=True)
+            await sleep(_WATCH_START_S)
+            await store.restore(copy)
+            for _ in range(_REWRITE_POLLS):
+                self.assertTrue(self.is_listed(deployment, searcher.id))
+                await sleep(_POLL_INTERVAL_S)
+            entry = {**searcher.entry, 'sequence': 2}
+            await store.put('servers', searcher.id, entry)
+            await sleep(_WATCH_START_S)
+            self.assertTrue(self.is_listed(deployment, searcher.id))
+        finally:
+            await deployment.close()
+
+    def is_listed(self, deployment: Deployment, upstream: UpstreamId) -> bool:
+        """Return whether the router knows an upstream."""
+        return upstream in deployment.router._forwarder.directory.by_id
+
+    async def wait_until(
+        self, deployment: Deployment, upstream: UpstreamId, *, is_listed: bool
+    ) -> None:
+        """Wait until the router knows an upstream, or doesn't."""
+
+        async def probe() -> bool:
+            return self.is_listed(deployment, upstream)
+
+        await deployment.wait_until(probe, is_listed)
