--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -379,6 +379,7 @@
     def on_store_restored(self, era: int) -> None:
         """Record that entries may be missing until they are written again."""
         self._store_recovered_at = steady_time()
+        self._forwarder.directory.record_restore(self._store_recovered_at)
         self._metrics.count('store.restored')
         log_event(_log, 'store-restored', 30, era=era)
 
--- a/src/sesametrack/routing/directory.py
+++ b/src/sesametrack/routing/directory.py
@@ -17,6 +17,10 @@
 # Entries that expired during a store outage are written again within two
 # seconds of its end; upstreams that are still missing then have stopped.
 _MISSING_GRACE_PERIOD: Seconds = 2.2
+# A restored copy of the store is seconds old; older removals are in it.
+_MAX_COPY_AGE: Seconds = 60
+# Upstreams that are alive write their entries again well within this time.
+_RESTORE_TIME: Seconds = 10
 # A peer's report of an unreachable service holds until the next request is
 # likely to have returned another one.
 _PEER_UNREACHABLE_TTL: Seconds = 1
@@ -63,6 +67,12 @@
         return self.record.id
 
 
+@dataclass(frozen=True, slots=True)
+class _RemovedUpstream:
+    record: UpstreamRecord
+    at: Instant
+
+
 class UpstreamDirectory:
     """Index of the listed upstreams by id and by service.
 
@@ -77,6 +87,8 @@
         self.has_listing = False
         self._by_service: dict[ServiceId, list[Upstream]] = {}
         self._unreachable_from_peers_until: dict[ServiceId, Instant] = {}
+        self._removed_by_id: dict[UpstreamId, _RemovedUpstream] = {}
+        self._restored_until: Instant = float('-inf')
 
     def usable(self, service: ServiceId) -> list[Upstream]:
         """Return the upstreams of a service that may get new requests."""
@@ -148,7 +160,9 @@
         ):
             return False
         if current is not None:
-            self._drop(record.id)
+            self._drop(record.id, now)
+        elif self._is_older_copy(record, now):
+            return False
         upstream = Upstream(record, now + record.cold_left)
         self.by_id[record.id] = upstream
         self._by_service.setdefault(record.service, []).append(upstream)
@@ -169,7 +183,7 @@
             if upstream.expires_at is None:
                 upstream.expires_at = now + _MISSING_GRACE_PERIOD
             return False
-        self._drop(upstream_id)
+        self._drop(upstream_id, now)
         return True
 
     def expire(self, now: Instant) -> list[UpstreamId]:
@@ -180,17 +194,44 @@
             if upstream.expires_at is not None and upstream.expires_at <= now
         ]
         for upstream_id in expired:
-            self._drop(upstream_id)
+            self._drop(upstream_id, now)
         return expired
 
+    def record_restore(self, now: Instant) -> None:
+        """Record that listings may come from an older copy for a while.
+
+        Meanwhile, upstreams that were removed before are not added again by
+        the entries that they had then.
+        """
+        self._restored_until = now + _RESTORE_TIME
+
     def mark_replaced(self, upstream_id: UpstreamId) -> None:
         """Record that another upstream responds at this one's address."""
         upstream = self.by_id.get(upstream_id)
         if upstream is not None:
             upstream.is_replaced = True
 
-    def _drop(self, upstream_id: UpstreamId) -> None:
+    def _is_older_copy(self, record: UpstreamRecord, now: Instant) -> bool:
+        """Return whether an entry is one that was removed before a restore."""
+        removed = self._removed_by_id.get(record.id)
+        if removed is None or now >= self._restored_until:
+            return False
+        known = removed.record
+        return (record.started_ms, record.sequence) <= (
+            known.started_ms,
+            known.sequence,
+        )
+
+    def _drop(self, upstream_id: UpstreamId, now: Instant) -> None:
         upstream = self.by_id.pop(upstream_id)
+        self._removed_by_id = {
+            removed_id: removed
+            for removed_id, removed in self._removed_by_id.items()
+            if now < removed.at + _MAX_COPY_AGE
+        }
+        self._removed_by_id[upstream_id] = _RemovedUpstream(
+            upstream.record, now
+        )
         # Exchanges in flight still hold the object and must not send to it.
         upstream.is_replaced = True
         self._by_service[upstream.record.service].remove(upstream)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -86,6 +86,46 @@
         self.assertEqual([], directory.expire(20))
         self.assertEqual(['s-0'], self.ids(directory))
 
+    # Guards against requests to upstreams that have left, which an older copy
+    # of the store still lists.
+    def test_removed_upstream_in_an_older_copy(self) -> None:
+        """After a restore, an upstream that was removed stays removed."""
+        directory = make_directory(['s'], 2)
+        directory.apply_removal('s-0', 1, is_after_outage=False)
+        directory.record_restore(5)
+        listed = [make_record('s-0', 's'), make_record('s-1', 's')]
+        directory.apply_listing(listed, 5, is_after_outage=True)
+        self.assertEqual(['s-1'], self.ids(directory))
+        directory.apply_record(make_record('s-0', 's'), 6)
+        self.assertEqual(['s-1'], self.ids(directory))
+
+    def test_removed_upstream_writes_again(self) -> None:
+        """A later entry, or another process, of it is used."""
+        for fields in ({'sequence': 2}, {'started_ms': 2, 'sequence': 0}):
+            directory = make_directory(['s'], 2)
+            directory.apply_removal('s-0', 1, is_after_outage=False)
+            directory.record_restore(5)
+            directory.apply_record(make_record('s-0', 's', **fields), 6)
+            self.assertEqual({'s-0', 's-1'}, set(self.ids(directory)))
+
+    def test_removed_upstream_long_after_a_restore(self) -> None:
+        """The memory of removed upstreams ends with the recovery."""
+        directory = make_directory(['s'], 2)
+        directory.apply_removal('s-0', 1, is_after_outage=False)
+        directory.record_restore(5)
+        directory.apply_record(make_record('s-0', 's'), 30)
+        self.assertEqual({'s-0', 's-1'}, set(self.ids(directory)))
+
+    def test_drain_in_an_older_copy(self) -> None:
+        """An upstream that drains is not ready again after a restore."""
+        directory = make_directory(['s'], 1)
+        draining = make_record('s-0', 's', is_draining=True, sequence=2)
+        directory.apply_record(draining, 1)
+        directory.record_restore(5)
+        listed = [make_record('s-0', 's', sequence=1)]
+        directory.apply_listing(listed, 5, is_after_outage=True)
+        self.assertEqual([], self.ids(directory))
+
     def test_replaced_address(self) -> None:
         """An upstream is not usable once another one has its address."""
         directory = make_directory(['s'], 2)
