--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -52,6 +52,7 @@
 from sesametrack.programs.permit_exchange import PermitExchange
 from sesametrack.routing.desired_state import ClientLimits, DesiredState
 from sesametrack.routing.directory import UpstreamRecord
+from sesametrack.routing.evacuations import EvacuatedDomains
 from sesametrack.routing.retry_budget import BudgetRule, RetryBudget
 from sesametrack.telemetry.metrics import Metrics
 from sesametrack.telemetry.structured_log import (
@@ -209,6 +210,7 @@
             steady_time,
             rng,
         )
+        self._evacuated_domains = EvacuatedDomains()
         self._unavailable_kinds: set[str] = set()
         self._has_preopened = False
         self._unservable_in_use: list[str] = []
@@ -359,6 +361,11 @@
 
     def on_evacuated(self, domains: frozenset[FailureDomainId]) -> None:
         """Stop sending to upstreams in these failure domains."""
+        self._evacuated_domains.apply(domains)
+        self._apply_evacuations()
+
+    def _apply_evacuations(self) -> None:
+        domains = self._evacuated_domains.current(steady_time())
         if domains == self._forwarder.directory.evacuated:
             return
         self._forwarder.directory.evacuated = domains
@@ -383,6 +390,7 @@
             return
         self._store_recovered_at = steady_time()
         self._forwarder.directory.record_restore(self._store_recovered_at)
+        self._evacuated_domains.record_restore(self._store_recovered_at)
         self._metrics.count('store.restored')
         log_event(_log, 'store-restored', 30, era=era)
 
@@ -444,6 +452,7 @@
         """
         now = steady_time()
         self._forwarder.expire_upstreams()
+        self._apply_evacuations()
         unreachable = self._forwarder.unreachable_routes()
         in_use = self._forwarder.recently_used_routes()
         self._unservable_in_use = [
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -152,6 +152,38 @@
         finally:
             await deployment.close()
 
+    # Guards against requests to an evacuated failure domain because the copy
+    # is older than its evacuation.
+    def test_missing_evacuation(self) -> None:
+        """An evacuation that the copy lacks lasts until it is written again."""
+        run(self.run_missing_evacuation(Deployment()))
+
+    async def run_missing_evacuation(self, deployment: Deployment) -> None:
+        """Restore a copy that was made before an evacuation."""
+        try:
+            await deployment.start()
+            store = deployment.store
+            directory = deployment.router._forwarder.directory
+            copy = store.copy()
+            await store.put('evacuations', 'west', {})
+
+            async def probe() -> bool:
+                return 'west' in directory.evacuated
+
+            await deployment.wait_until(probe, expected=True)
+            await sleep(_WATCH_START_S)
+            await store.restore(copy)
+            for _ in range(_REWRITE_POLLS):
+                self.assertIn('west', directory.evacuated)
+                await sleep(_POLL_INTERVAL_S)
+            await store.put('evacuations', 'west', {})
+            await sleep(_REWRITE_POLLS * _POLL_INTERVAL_S)
+            self.assertIn('west', directory.evacuated)
+            await store.remove('evacuations', 'west')
+            await deployment.wait_until(probe, expected=False)
+        finally:
+            await deployment.close()
+
     def is_listed(self, deployment: Deployment, upstream: UpstreamId) -> bool:
         """Return whether the router knows an upstream."""
         return upstream in deployment.router._forwarder.directory.by_id
@@ -164,4 +196,4 @@
         async def probe() -> bool:
             return self.is_listed(deployment, upstream)
 
-        await deployment.wait_until(probe, is_listed)
+        await deployment.wait_until(probe, expected=is_listed)
