--- a/src/sesametrack/platform/registration.py
+++ b/src/sesametrack/platform/registration.py
@@ -1,6 +1,6 @@
 """Registration of this VM in the store, and discovery of the fleet."""
 
-from asyncio import Task, create_task, sleep
+from asyncio import Event, Task, create_task, sleep, wait_for
 from collections.abc import Callable
 from logging import getLogger
 from random import Random
@@ -63,6 +63,9 @@
         # Random, so that a restarted process does not repeat a heartbeat.
         self._heartbeat = rng.randrange(1 << 30)
         self._fleet = FleetCount(own_vm.vm)
+        self._entry_by_vm: dict[VmId, _Entry] = {}
+        self._era: int | None = None
+        self._is_restored = Event()
         self._task: Task | None = None
 
     async def start(self) -> None:
@@ -75,6 +78,10 @@
             self._task.cancel()
         self._connection.close()
 
+    def record_restore(self) -> None:
+        """Write this VM's entry again at once, as the store may lack it."""
+        self._is_restored.set()
+
     async def _run(self) -> None:
         await self._register()
         if self._is_first_start:
@@ -91,7 +98,17 @@
             except PlatformError as error:
                 delay = _RETRY_DELAY
                 log_event(_log, 'registration-failed', problem=str(error))
-            await sleep(delay * (0.75 + self._rng.random() / 2))
+            await self._pause(delay * (0.75 + self._rng.random() / 2))
+
+    async def _pause(self, delay: Seconds) -> None:
+        """Wait for the next round; after a restore, write the entry first."""
+        try:
+            await wait_for(self._is_restored.wait(), delay)
+        except TimeoutError:
+            return
+        self._is_restored.clear()
+        self._is_created = False
+        await self._register()
 
     async def _register(self) -> None:
         try:
@@ -132,7 +149,14 @@
         heartbeat_by_vm = {
             vm: entry.heartbeat for vm, entry in entry_by_vm.items()
         }
-        expired_vms = self._fleet.observe(heartbeat_by_vm, self._now())
+        before, self._era = self._era, self._connection.era
+        is_restored = before is not None and self._era != before
+        if is_restored:
+            entry_by_vm = {**self._entry_by_vm, **entry_by_vm}
+        self._entry_by_vm = entry_by_vm
+        expired_vms = self._fleet.observe(
+            heartbeat_by_vm, self._now(), is_restored=is_restored
+        )
         for vm in expired_vms:
             log_event(_log, 'vm-entry-removed', vm=vm)
             await self._connection.delete(_OBJECT_KIND, vm)
--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -391,6 +391,7 @@
         self._store_recovered_at = steady_time()
         self._forwarder.directory.record_restore(self._store_recovered_at)
         self._evacuated_domains.record_restore(self._store_recovered_at)
+        self._registration.record_restore()
         self._metrics.count('store.restored')
         log_event(_log, 'store-restored', 30, era=era)
 
--- a/src/sesametrack/vms/fleet_count.py
+++ b/src/sesametrack/vms/fleet_count.py
@@ -46,9 +46,17 @@
         )
 
     def observe(
-        self, heartbeat_by_vm: dict[VmId, int], now: Instant
+        self,
+        heartbeat_by_vm: dict[VmId, int],
+        now: Instant,
+        *,
+        is_restored: bool = False,
     ) -> list[VmId]:
-        """Apply all heartbeats; return the VMs whose entries to remove."""
+        """Apply all heartbeats; return the VMs whose entries to remove.
+
+        If the store `is_restored` since the last observation, heartbeats may
+        be older or missing, which says nothing about their VMs.
+        """
         self.has_heartbeats = True
         unobserved_time = self._unobserved_time(now)
         updated: dict[VmId, tuple[int, Instant]] = {}
@@ -56,9 +64,11 @@
             changed_at = now
             if vm in self._heartbeat_by_vm:
                 previous, previous_change = self._heartbeat_by_vm[vm]
-                if previous == heartbeat:
+                if previous == heartbeat or is_restored:
                     changed_at = previous_change + unobserved_time
             updated[vm] = (heartbeat, changed_at)
+        if is_restored:
+            updated = {**self._heartbeat_by_vm, **updated}
         self._heartbeat_by_vm = updated
         self.live = {self._vm} | {
             vm
--- a/tests/test_fleet_count.py
+++ b/tests/test_fleet_count.py
@@ -57,3 +57,37 @@
         fleet = FleetCount('a')
         fleet.observe({}, 0)
         self.assertEqual(1, fleet.count)
+
+    # Guards against shares of limits that are too large, as a VM whose entry
+    # an older copy of the store lacks is alive.
+    def test_missing_entry_in_an_older_copy(self) -> None:
+        """A VM that a restored store does not know stays counted."""
+        fleet = FleetCount('a')
+        fleet.observe({'a': 1, 'b': 5, 'c': 7}, 0)
+        fleet.observe({'a': 2, 'b': 6, 'c': 8}, 10)
+        fleet.observe({'a': 2, 'b': 6}, 15, is_restored=True)
+        self.assertEqual({'a', 'b', 'c'}, fleet.live)
+        fleet.observe({'a': 3, 'b': 7, 'c': 9}, 25)
+        self.assertEqual({'a', 'b', 'c'}, fleet.live)
+
+    def test_missing_entry_that_stays_missing(self) -> None:
+        """A VM that does not write again is not counted any more."""
+        fleet = FleetCount('a')
+        fleet.observe({'a': 1, 'b': 5}, 0)
+        fleet.observe({'a': 1}, 10, is_restored=True)
+        self.assertEqual({'a', 'b'}, fleet.live)
+        fleet.observe({'a': 2}, 20)
+        self.assertEqual({'a'}, fleet.live)
+
+    # Guards against a VM that is gone and looks alive, as its heartbeat in an
+    # older copy differs from the last one.
+    def test_older_heartbeat(self) -> None:
+        """A heartbeat of an older copy is no sign of life."""
+        fleet = FleetCount('a')
+        for now in range(0, 40, 10):
+            fleet.observe({'a': now, 'b': 5}, now)
+        fleet.observe({'a': 31, 'b': 4}, 35, is_restored=True)
+        self.assertEqual({'a', 'b'}, fleet.live)
+        for now in range(45, 65, 10):
+            fleet.observe({'a': now, 'b': 4}, now)
+        self.assertEqual({'a'}, fleet.live)
