--- a/src/sesametrack/platform/object_watcher.py
+++ b/src/sesametrack/platform/object_watcher.py
@@ -38,7 +38,9 @@
 # The watch of the upstreams also detects that the store is unreachable, so its
 # wait is well within the platform's shortest drain time (3 s).
 _UPSTREAM_WAIT: Seconds = 2.5
-_DEFAULT_WAIT: Seconds = 25
+# The store keeps 20 s of history. A watch of a quiet kind has to end before the
+# writes after its start are discarded, or it would end with 410.
+_DEFAULT_WAIT: Seconds = 17
 # Followers must detect within the drain time that their relay is unreachable or
 # cut off from the store: a watch with its margin and a listing from the next
 # relay fit into it. A relay that detects the loss of the store ends their
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -39,6 +39,7 @@
         self.delay_s: float = 0
         self.lost_writes = 0
         self.calls = 0
+        self.longest_wait_s: float = 0
         self.revision = 1
         self.era = 1
         self._page_size = page_size
@@ -181,6 +182,8 @@
         return json_response(200, page)
 
     async def _watch(self, kind: str, query: dict[str, str]) -> HttpResponse:
+        wait_s = int(query['wait_ms']) / _MS_PER_S
+        self.longest_wait_s = max(self.longest_wait_s, wait_s)
         after = int(query['watch'])
         if after > self.revision:
             return HttpResponse(410)
@@ -188,7 +191,7 @@
         try:
             await wait_for(
                 self._wait_for_change(kind, after, compacted_revision),
-                int(query['wait_ms']) / _MS_PER_S,
+                wait_s,
             )
         except TimeoutError:
             return self._changes(kind, after)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -38,6 +38,9 @@
 _STORE_PORT = 9400
 _FIRST_RELAY_PORT = 9410
 _VM_COUNT = 5
+# How long the users' store keeps its history, and what a slow call may add.
+_HISTORY_S = 20
+_CALL_MARGIN_S = 2
 _MAX_POLLS = 150
 _POLL_INTERVAL_S = 0.02
 
@@ -151,6 +154,7 @@
                 await vm.start()
             await self.check_changes(store, vms)
             await self.check_calls(store)
+            self.check_waits(store)
             await self.check_refused_watchers(store, vms)
             await self.check_stopped_watcher(store, vms)
             await self.check_store_outage(store, vms)
@@ -211,6 +215,16 @@
         await sleep(1)
         self.assertLessEqual(store.calls - before, WATCHERS_PER_DOMAIN * 2)
 
+    def check_waits(self, store: ObjectStoreStandin) -> None:
+        """Watches end before the store discards the history after them.
+
+        Failure: watches of quiet kinds waited for 25 s and got 410 where
+        anything else was written meanwhile; relays refused their followers
+        until they had listed anew, and these all turned to the store.
+        """
+        self.assertGreater(store.longest_wait_s, 0)
+        self.assertLessEqual(store.longest_wait_s, _HISTORY_S - _CALL_MARGIN_S)
+
     async def check_stopped_watcher(
         self, store: ObjectStoreStandin, vms: list[Vm]
     ) -> None:
