--- a/src/sesametrack/platform/object_watcher.py
+++ b/src/sesametrack/platform/object_watcher.py
@@ -279,7 +279,9 @@
             self._listener.on_store_era(connection.era, is_restored=is_restored)
         self._era_by_kind[kind] = connection.era
         for other, era in self._era_by_kind.items():
-            if other != kind and era != connection.era:
+            # Relays of older versions name no era.
+            is_known = None not in {era, connection.era}
+            if other != kind and is_known and era != connection.era:
                 self._end_direct_watch(other)
 
     def _end_direct_watch(self, kind: str) -> None:
--- a/src/sesametrack/programs/permit_exchange.py
+++ b/src/sesametrack/programs/permit_exchange.py
@@ -103,6 +103,11 @@
         """Record the era of the store that a reply has shown."""
         self._lease.observe_era(era)
 
+    @property
+    def is_coordinator(self) -> bool:
+        """Return whether this VM issues permits."""
+        return self._lease.is_held
+
     @property
     def store_calls(self) -> int:
         """Number of calls made to the store."""
@@ -143,7 +148,6 @@
         now = self._now()
         self._issuer = PermitIssuer(now if is_first else now + MAX_PERMIT_WAIT)
         self._coordinator = None
-        self._metrics.gauge('permits.is-coordinator', 1)
         self._notify_peers()
         self._send_unsent()
 
--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -492,6 +492,9 @@
         return HttpResponse(_OK if self.is_ready else _UNAVAILABLE)
 
     async def _handle_metrics(self, request: HttpRequest) -> HttpResponse:
+        self._metrics.gauge(
+            'permits.is-coordinator', int(self._permit_exchange.is_coordinator)
+        )
         self._metrics.gauge(
             'store.calls',
             self._object_watcher.calls + self._permit_exchange.store_calls,
