--- a/src/sesametrack/programs/permit_exchange.py
+++ b/src/sesametrack/programs/permit_exchange.py
@@ -198,10 +198,13 @@
 
     @_handle.register
     def _on_request(self, message: PermitRequest, sender: Address) -> None:
-        reply = PermitReply(message.request_id, is_coordinator=False)
         if self._lease.is_held:
-            reply = self._issue(message)
+            self._link.send(sender, self._issue(message))
+            return
+        reply = PermitReply(message.request_id, is_coordinator=False)
         self._link.send(sender, reply)
+        # The lease may still be that of this VM's former process.
+        self._lease.seek()
 
     @_handle.register
     def _on_reply(self, reply: PermitReply, sender: Address) -> None:
