--- a/bench/soak.py
+++ b/bench/soak.py
@@ -249,6 +249,7 @@
             self._lose_history,
             self._change_state,
             self._drain_searcher,
+            self._limit_searcher,
         )
         tasks = []
         while monotonic() < ends_at:
@@ -352,11 +353,18 @@
         await sleep(self._rng.uniform(0, _FAULT_DURATION_S))
         await self._store.put('servers', searcher.id, {**entry, 'sequence': 3})
 
+    async def _limit_searcher(self) -> None:
+        plan = self._rng.choice(self._searchers).plan
+        plan.limit_per_s = self._rng.choice((0, 0.5, 5, 50))
+        await sleep(self._rng.uniform(0, 2 * _FAULT_DURATION_S))
+        plan.limit_per_s = None
+
     async def _recover(self) -> None:
         for proxy in self._proxies:
             proxy.heal()
         for searcher in self._searchers:
             searcher.plan.fault = ''
+            searcher.plan.limit_per_s = None
         self._store.refusal = None
         await sleep(_RECOVERY_S)
 
