Don't take replies without framing for whole unless they announce their end

Cause: a reply whose head names neither a length nor chunks ends with its connection. Any such reply was taken for whole, also with an empty or short body, and was framed as whole for the caller. A head that has lost a line looks the same. Change: the end of the connection completes a reply only if its head announces it (Connection: close, or HTTP/1.0). The client of the store, of relays, gates and other VMs does the same. Otherwise the send has failed, and may have run. Tests: test_unframed_reply and test_reset_of_unframed_reply used a reply without the announcement, which is now no reply at all; they have it now, and check the same. The stand-in's fault 'unframed' has it too. The faults of test_router_path now compare the bodies as well.

--- a/src/sesametrack/links/http.py
+++ b/src/sesametrack/links/http.py
@@ -1,5 +1,6 @@
 """HTTP messages and helpers shared by server and client."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from msgspec.json import encode
@@ -56,6 +57,23 @@
     return HttpResponse(status, encode(content), all_headers)
 
 
+def is_close_announced(
+    http_version: bytes, headers: Iterable[tuple[bytes, bytes]]
+) -> bool:
+    """Return whether the sender closes the connection after this message.
+
+    Header names must be in lower case.
+    """
+    tokens = {
+        token.strip().lower()
+        for name, text in headers
+        if name == b'connection'
+        for token in text.split(b',')
+    }
+    is_persistent = http_version != b'1.0' or b'keep-alive' in tokens
+    return b'close' in tokens or not is_persistent
+
+
 def decode_headers(headers: list[tuple[bytes, bytes]]) -> dict[str, str]:
     """Return h11 headers as a dictionary with lower-case names."""
     return {
--- a/src/sesametrack/links/http_client.py
+++ b/src/sesametrack/links/http_client.py
@@ -25,13 +25,20 @@
 from sesametrack.contracts.exceptions import ProtocolError
 from sesametrack.contracts.settings import split_address
 from sesametrack.contracts.types import Address, Seconds
-from sesametrack.links.http import HttpRequest, HttpResponse, decode_headers
+from sesametrack.links.http import (
+    HttpRequest,
+    HttpResponse,
+    decode_headers,
+    is_close_announced,
+)
 from sesametrack.links.socket_options import enable_dead_peer_detection
 
 _READ_SIZE = 65536
 # A listing of 24,000 upstreams takes 6 MB. The head is limited by h11.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 _MAX_INTERIM_RESPONSES = 8
+_FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
+_BODILESS_STATUSES = frozenset((204, 304))
 
 
 class HttpConnection:
@@ -104,7 +111,7 @@
                 self.abort()
                 raise ProtocolError(f'{self._address}: the body is too large')
             event = await self._next_event()
-        if not isinstance(event, EndOfMessage):
+        if not isinstance(event, EndOfMessage) or _is_maybe_truncated(head):
             raise EOFError(f'{self._address} closed inside a response')
         self._start_next_cycle()
         return HttpResponse(
@@ -150,3 +157,17 @@
                 self.abort()
                 raise ProtocolError(f'{self._address}: too many bytes')
             self._protocol.receive_data(chunk)
+
+
+def _is_maybe_truncated(head: Response) -> bool:
+    """Return whether the end of the connection may have cut a response.
+
+    It delimits a response without framing headers. A server that means it
+    announces it; otherwise a line of the head may be missing.
+    """
+    headers = list(head.headers)
+    if head.status_code in _BODILESS_STATUSES:
+        return False
+    if _FRAMING_HEADERS & {name for name, _ in headers}:
+        return False
+    return not is_close_announced(head.http_version, headers)
--- a/src/sesametrack/links/reply_parser.py
+++ b/src/sesametrack/links/reply_parser.py
@@ -9,6 +9,7 @@
 from httptools import HttpParserError, HttpResponseParser
 
 from sesametrack.contracts.exceptions import ProtocolError
+from sesametrack.links.http import is_close_announced
 from sesametrack.routing.events import Headers
 
 _MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -117,9 +118,16 @@
         return count
 
     def finish(self) -> CompleteReply | None:
-        """Return the reply that is delimited by the end of the connection."""
+        """Return the reply that is delimited by the end of the connection.
+
+        A sender announces that it delimits a reply so. Without that, a line
+        of the head may be missing, and the reply may be a part of one.
+        """
         if not self._is_in_body or self._is_framed:
             return None
+        version = self._parser.get_http_version()
+        if not is_close_announced(version.encode(), self._headers):
+            return None
         return CompleteReply(
             self._parser.get_status_code(),
             self._headers,
--- a/standins/searcher.py
+++ b/standins/searcher.py
@@ -34,7 +34,9 @@
     `fault` is '' for none, 'shed' (503, not executed), 'error' (500),
     'reset' (the connection is reset), 'mute' (no reply), 'extra' (a late
     reply to another request comes first), 'cut' (the body is truncated),
-    'unframed' (no content length) or 'junk' (not HTTP).
+    'cut-head' (the head is truncated), 'lost-length' (the body is truncated,
+    and the head lacks its length), 'unframed' (the body ends with the
+    connection, as the head announces) or 'junk' (not HTTP).
     """
 
     delay_s: float = 0
@@ -157,7 +159,13 @@
                 + intact
             ),
             'cut': lambda: intact[:-8],
-            'unframed': lambda: _reply(200, headers, body, is_framed=False),
+            'cut-head': lambda: intact[: intact.index(b'Keep-Alive') + 9],
+            'lost-length': lambda: _reply(
+                200, headers, body[:-8], is_framed=False
+            ),
+            'unframed': lambda: _reply(
+                200, {**headers, 'Connection': 'close'}, body, is_framed=False
+            ),
             'junk': lambda: b'\x00\x01 not a reply\r\n\r\n',
         }
         if fault == 'reset':
--- a/tests/test_router_path.py
+++ b/tests/test_router_path.py
@@ -155,6 +155,21 @@
         """Return the searchers of a service."""
         return [one for one in self.searchers if one.service == service]
 
+    def expected_body(self, path: str, request_id: str) -> bytes:
+        """Return the whole answer of all shards, or of the first one."""
+        shards = [self.searchers_of(shard)[0] for shard in _SHARDS]
+        if path != '/all/x':
+            return shards[0].part(request_id)
+        records = b''.join(shard.part(request_id) for shard in shards)
+        greatest = sorted(
+            (
+                records[start : start + RECORD_BYTES]
+                for start in range(0, len(records), RECORD_BYTES)
+            ),
+            reverse=True,
+        )
+        return b''.join(greatest[:4])
+
     def run_count(self, request_id: str) -> int:
         """Return how often searchers ran a request."""
         return sum(one.ran.count(request_id) for one in self.searchers)
@@ -202,15 +217,9 @@
         request_id, response = await deployment.send_request('/all/x?y=1')
         self.assertEqual(200, response.status)
         shards = [deployment.searchers_of(shard)[0] for shard in _SHARDS]
-        shard_records = b''.join(shard.part(request_id) for shard in shards)
-        records = sorted(
-            (
-                shard_records[start : start + RECORD_BYTES]
-                for start in range(0, len(shard_records), RECORD_BYTES)
-            ),
-            reverse=True,
+        self.assertEqual(
+            deployment.expected_body('/all/x', request_id), response.body
         )
-        self.assertEqual(b''.join(records[:4]), response.body)
         digests = response.headers['part-stamps'].split(', ')
         self.assertEqual(
             sorted(shard.digest(request_id) for shard in shards),
@@ -249,6 +258,8 @@
             'reset',
             'extra',
             'cut',
+            'cut-head',
+            'lost-length',
             'unframed',
             'junk',
             'mute',
@@ -257,8 +268,10 @@
                 searcher.plan.fault = fault
                 searcher.plan.faults_left = 1
             for path in ('/all/x', '/read/x', '/read/x'):
-                _, response = await deployment.send_request(path)
+                request_id, response = await deployment.send_request(path)
                 self.assertEqual(200, response.status, fault)
+                expected = deployment.expected_body(path, request_id)
+                self.assertEqual(expected, response.body, fault)
             for searcher in deployment.searchers:
                 searcher.plan.fault = ''
 
@@ -267,7 +280,13 @@
 
         It is refused only if no searcher ran it, and otherwise fails.
         """
-        for fault, status in (('reset', 502), ('error', 500), ('shed', 503)):
+        for fault, status in (
+            ('reset', 502),
+            ('cut-head', 502),
+            ('lost-length', 502),
+            ('error', 500),
+            ('shed', 503),
+        ):
             for searcher in deployment.searchers_of('part-a'):
                 searcher.plan.fault = fault
                 searcher.plan.faults_left = None
--- a/tests/test_upstream_http.py
+++ b/tests/test_upstream_http.py
@@ -17,6 +17,7 @@
 _HEAD = b'HTTP/1.1 200 OK\r\nServer-Stamp: st\r\n'
 _OWN_ID = b'Request-Id: mine\r\n'
 _OTHER_ID = b'Request-Id: other\r\n'
+_CLOSE = b'Connection: close\r\n'
 _COMPLETE_REPLY = _HEAD + _OWN_ID + b'Content-Length: 4\r\n\r\nbody'
 _OTHER_REPLY = _HEAD + _OTHER_ID + b'Content-Length: 5\r\n\r\nstray'
 
@@ -104,9 +105,12 @@
         self.assertEqual(1, len(exchange.end_reasons))
 
     def test_unframed_reply(self) -> None:
-        """A reply without a length is complete when the connection ends."""
+        """A reply without a length is complete when the connection ends.
+
+        Its head announces that end; see also test_truncated_replies.
+        """
         exchange = Exchange()
-        exchange.receive(_HEAD + _OWN_ID + b'\r\nbody')
+        exchange.receive(_HEAD + _OWN_ID + _CLOSE + b'\r\nbody')
         self.assertEqual([], exchange.replies)
         exchange.transport.peer_closes()
         self.assertEqual([b'body'], [reply.body for reply in exchange.replies])
@@ -114,7 +118,7 @@
     def test_reset_of_unframed_reply(self) -> None:
         """A connection reset does not complete a reply without a length."""
         exchange = Exchange()
-        exchange.receive(_HEAD + _OWN_ID + b'\r\nbody')
+        exchange.receive(_HEAD + _OWN_ID + _CLOSE + b'\r\nbody')
         exchange.transport.peer_closes(ConnectionResetError())
         self.assertEqual([], exchange.replies)
 
