Take no late copy of an answer for the answer to another request

Cause: a connection in use again may deliver a second copy of an earlier answer. Successes were matched by the request's id, but a 421 and answers without an id were taken whatever they answered, and attempts of one request could use one connection after the other, so that a copy of the first answer had the right id. Each could report a request as not run that then ran. Change: a 421 is matched by id like all others; an answer without an id counts only as the first of its connection, otherwise the send fails and may have run; attempts of the same request use different connections, and at the limit an idle one makes room. The stand-in's rejections have one now too.

--- a/src/sesametrack/links/upstream_http.py
+++ b/src/sesametrack/links/upstream_http.py
@@ -67,6 +67,8 @@
         """Store the clock, the callbacks and the limit of large replies."""
         self.state = ConnectionState.connecting
         self.attempt_id: int | None = None
+        # Of the last request that was sent.
+        self.request_id = ''
         self.idle_since: Instant = 0
         self.keep_alive_timeout: Seconds = _DEFAULT_KEEP_ALIVE_TIMEOUT
         self._now = now
@@ -78,6 +80,7 @@
         self._parser = ReplyParser(memory)
         self._read_reply: ReplyReader | None = None
         self._unmatched_replies = 0
+        self._request_count = 0
         self._why = 'closed'
 
     def connection_made(self, transport: Transport) -> None:
@@ -100,6 +103,7 @@
         self.attempt_id = attempt_id
         self._read_reply = read_reply
         self._unmatched_replies = 0
+        self._request_count += 1
         self._parser.expects_no_body = request.method == b'HEAD'
         self._transport.write(_encode(request))
 
@@ -157,6 +161,10 @@
                 complete_reply.body,
             )
             if reply is not None:
+                if not reply.is_identified and self._request_count > 1:
+                    # It may be a late copy of the reply to an earlier one.
+                    self.abort('reply without an id')
+                    return
                 is_last = position == len(replies) - 1
                 self._end_exchange(complete_reply, reply, is_last=is_last)
                 return
--- a/src/sesametrack/links/upstream_pool.py
+++ b/src/sesametrack/links/upstream_pool.py
@@ -39,6 +39,9 @@
     is_repeatable: bool
     # The request is not written after this instant.
     deadline: Instant
+    # Attempts of the same request use different connections: a late copy of
+    # one's reply could not be told from the other's.
+    request_id: str = ''
 
 
 class PoolOwner:
@@ -108,10 +111,7 @@
             self._write(connection, pending)
             return
         self._waiting.append(pending)
-        if self.size < self.limit and len(self._connect_tasks) < len(
-            self._waiting
-        ):
-            self.open()
+        self._connect_for_waiting()
 
     def cancel_waiting(self, attempt_id: int) -> bool:
         """Remove a queued request; return whether it was still queued."""
@@ -208,6 +208,19 @@
                     pending.attempt_id, FailureKind.not_sent, _EXPIRED
                 )
 
+    def _connect_for_waiting(self) -> None:
+        """Open a connection for a queued request that can't use the others.
+
+        At the limit, an idle connection makes room for it.
+        """
+        if len(self._connect_tasks) >= len(self._waiting):
+            return
+        if self.size < self.limit:
+            self.open()
+        elif self._idle and not self._connect_tasks:
+            # The next connection is opened when this one has ended.
+            self._idle[0].abort('not reusable')
+
     def _pop_idle_connection(
         self, pending: PendingSend
     ) -> UpstreamConnection | None:
@@ -217,10 +230,9 @@
             else _UNREPEATABLE_IDLE_FRACTION
         )
         now = self._now()
-        while self._idle:
-            connection = self._idle[-1]
+        for connection in reversed(list(self._idle)):
             if connection.state is not ConnectionState.idle:
-                self._idle.pop()
+                self._idle.remove(connection)
                 continue
             if (
                 now - connection.idle_since
@@ -228,12 +240,25 @@
             ):
                 # All others have been idle for longer.
                 return None
-            return self._idle.pop()
+            if not _is_repeated(pending, connection):
+                self._idle.remove(connection)
+                return connection
+        return None
+
+    def _pop_waiting(
+        self, connection: UpstreamConnection
+    ) -> PendingSend | None:
+        """Return the first queued request for which a connection is usable."""
+        for pending in self._waiting:
+            if not _is_repeated(pending, connection):
+                self._waiting.remove(pending)
+                return pending
         return None
 
     def _write(
         self, connection: UpstreamConnection, pending: PendingSend
     ) -> None:
+        connection.request_id = pending.request_id
         connection.send(
             pending.attempt_id, pending.build_request(), pending.read_reply
         )
@@ -246,10 +271,13 @@
             return
         self._fail_expired()
         # The failures may have led to a send on this connection's pool.
+        pending = self._pop_waiting(connection)
+        if pending is not None:
+            self._write(connection, pending)
+            return
+        self._idle.append(connection)
         if self._waiting:
-            self._write(connection, self._waiting.popleft())
-        else:
-            self._idle.append(connection)
+            self._connect_for_waiting()
 
     def _handle_reply(
         self, connection: UpstreamConnection, reply: UpstreamReply
@@ -270,3 +298,10 @@
         if self._waiting and not self._is_closed:
             if self.size < self.limit:
                 self.open()
+
+
+def _is_repeated(pending: PendingSend, connection: UpstreamConnection) -> bool:
+    """Return whether the connection's last request was the same one."""
+    return bool(pending.request_id) and (
+        pending.request_id == connection.request_id
+    )
--- a/src/sesametrack/platform/headers.py
+++ b/src/sesametrack/platform/headers.py
@@ -127,11 +127,18 @@
     without an id or a signature, or with an encoding.
     """
     by_name = dict(headers)
-    if status == _MISDIRECTED:
-        return UpstreamReply(ReplyKind.misdirected, status, [], b'')
     echoed = by_name.get(_REQUEST_ID)
-    if echoed is not None and echoed != request_id:
+    is_identified = echoed is not None
+    if is_identified and echoed != request_id:
         return None
+    if status == _MISDIRECTED:
+        return UpstreamReply(
+            ReplyKind.misdirected,
+            status,
+            [],
+            b'',
+            is_identified=is_identified,
+        )
     load = _parse_load(by_name.get(_LOAD))
     stated_rate = _parse_rate_limit(headers)
     if _NOT_EXECUTED in by_name:
@@ -142,11 +149,12 @@
             b'',
             load=load,
             stated_rate=stated_rate,
+            is_identified=is_identified,
         )
     digest = by_name.get(_DIGEST, b'')
     is_success = _OK <= status < _FIRST_NON_SUCCESS
     if is_success and (
-        not digest or echoed is None or b'content-encoding' in by_name
+        not digest or not is_identified or b'content-encoding' in by_name
     ):
         return None
     kind = ReplyKind.succeeded if is_success else ReplyKind.failed
@@ -162,6 +170,7 @@
         digest,
         load,
         stated_rate=stated_rate,
+        is_identified=is_identified,
     )
 
 
--- a/src/sesametrack/programs/pending_sends.py
+++ b/src/sesametrack/programs/pending_sends.py
@@ -55,4 +55,5 @@
         partial(parse_upstream_reply, request.id.encode('latin-1')),
         active_request.route.is_repeatable,
         send.deadline,
+        request.id,
     )
--- a/src/sesametrack/routing/events.py
+++ b/src/sesametrack/routing/events.py
@@ -73,6 +73,8 @@
     merged: 'MergedAnswer | None' = None
     # None if the reply says nothing about a limit of the upstream.
     stated_rate: StatedRate | None = None
+    # Whether it names the request. Otherwise it may answer another one.
+    is_identified: bool = True
 
 
 @dataclass(slots=True)
--- a/standins/searcher.py
+++ b/standins/searcher.py
@@ -118,12 +118,14 @@
     ) -> bool:
         request = await _read_request(reader)
         self.seen.append(request)
+        echo = {'Request-Id': request.request_id}
         if request.headers.get('expect-instance') not in {None, self.id}:
-            writer.write(_reply(421, {'Instance-Id': self.id}, b''))
+            headers = {**echo, 'Instance-Id': self.id}
+            writer.write(_reply(421, headers, b''))
             return True
         fault = self._next_fault()
         if fault == 'shed':
-            writer.write(_reply(503, {'Not-Executed': '1'}, b''))
+            writer.write(_reply(503, {**echo, 'Not-Executed': '1'}, b''))
             return True
         self.ran.append(request.request_id)
         if self.plan.delay_s:
