--- a/bench/soak.py
+++ b/bench/soak.py
@@ -80,7 +80,7 @@
             self.process = await create_subprocess_exec(
                 executable,
                 '-m',
-                'sesametrack.programs.router',
+                'sesametrack.programs.router_process',
                 f'--settings={self.settings}',
                 stdout=log,
                 stderr=log,
--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -14,7 +14,7 @@
 from os import environ
 from pathlib import Path
 from random import Random
-from signal import SIGHUP, SIGINT, SIGTERM
+from signal import SIG_UNBLOCK, SIGHUP, SIGINT, SIGTERM, pthread_sigmask
 from sys import exit as exit_process
 from sys import stderr
 from time import CLOCK_BOOTTIME, clock_gettime, time
@@ -223,7 +223,8 @@
         self._stop_requested = Event()
 
     async def start(self) -> None:
-        """Open the sockets, follow the store and install signal handlers."""
+        """Handle signals, open the sockets and follow the store."""
+        self._handle_signals()
         await self._readiness_server.start()
         await self._metrics_server.start()
         await self._caller_server.start()
@@ -238,9 +239,6 @@
         await self._hint_exchange.start()
         await self._permit_exchange.start()
         await self._registration.start()
-        for number in (SIGTERM, SIGINT):
-            self._loop.add_signal_handler(number, self._stop_requested.set)
-        self._loop.add_signal_handler(SIGHUP, self._reload)
         log_event(
             _log,
             'started',
@@ -248,6 +246,13 @@
             callers=self._settings.callers,
         )
 
+    def _handle_signals(self) -> None:
+        """Install the handlers, and let through what was held back for them."""
+        for number in (SIGTERM, SIGINT):
+            self._loop.add_signal_handler(number, self.request_stop)
+        self._loop.add_signal_handler(SIGHUP, self._reload)
+        pthread_sigmask(SIG_UNBLOCK, (SIGHUP, SIGINT, SIGTERM))
+
     def request_stop(self) -> None:
         """Shut down gracefully: `serve` returns once that is done."""
         self._stop_requested.set()
@@ -568,7 +573,3 @@
 def run_program() -> None:
     """Parse the command line and run the router until it shuts down."""
     app.run(_main)
-
-
-if __name__ == '__main__':
-    run_program()
