Keep followers at a relay whose own watch was cut for a moment

Cause: a relay refused its followers as soon as its own watch of a kind failed. Change: requests for the kind wait up to half a second for the relay's next listing. That is told to waiting watches as changes, so that followers need no listing of their own. A relay that can't list again refuses as before.

--- a/src/sesametrack/platform/relay.py
+++ b/src/sesametrack/platform/relay.py
@@ -23,6 +23,7 @@
 from sesametrack.platform.store import (
     ERA_HEADER,
     RELAY_CODING,
+    Change,
     ChangeBatch,
     StoreObject,
 )
@@ -39,6 +40,9 @@
 # A VM that starts gets its first listing of a kind well within this time if the
 # store replies. A follower that waits longer gets 404 and tries another source.
 _FIRST_LISTING_TIMEOUT: Seconds = 0.5
+# A VM whose watch was cut lists again within this time if the store replies.
+# Its followers wait for that: together they would call the store many times.
+_RECOVERY_TIME: Seconds = 0.5
 
 
 @dataclass(slots=True)
@@ -51,8 +55,8 @@
     history: deque = field(default_factory=deque)
     changed: Event = field(default_factory=Event)
     is_listed: bool = False
-    # Set while this VM's own watch of the kind fails.
-    is_unavailable: bool = False
+    # Since when this VM's own watch of the kind fails, None if it doesn't.
+    unavailable_since: Instant | None = None
     # Encoded bodies, by the revision to watch after (None for a listing) and
     # whether they are compressed. Most followers ask the same.
     body_by_query: dict[tuple[int | None, bool], bytes] = field(
@@ -97,13 +101,13 @@
         self._store_replied_at = self._now()
 
     def mark_unavailable(self, kind: str) -> None:
-        """Refuse requests for a kind until its next listing.
+        """Refuse requests for a kind after a while, until its next listing.
 
-        Waiting watches of the kind are refused at once.
+        Meanwhile they wait for the listing.
         """
         state = self._state_by_kind.get(kind)
-        if state is not None:
-            state.is_unavailable = True
+        if state is not None and state.unavailable_since is None:
+            state.unavailable_since = self._now()
             _notify_watches(state)
 
     def apply_listing(
@@ -113,29 +117,35 @@
         revision: int,
         era: int | None = None,
     ) -> None:
-        """Replace all objects of a kind by a complete listing of an era."""
+        """Replace all objects of a kind by a complete listing of an era.
+
+        Followers that watch from an earlier listing of the same history get
+        what has changed since.
+        """
         state = self._state_by_kind.setdefault(kind, _KindState())
-        state.object_by_name = {one.meta.name: one for one in objects}
-        state.history.clear()
-        state.is_unavailable = False
+        listed = {one.meta.name: one for one in objects}
+        is_continued = (
+            state.is_listed and state.era == era and revision >= state.revision
+        )
+        if is_continued:
+            batch = ChangeBatch(
+                _find_changes(state.object_by_name, listed), revision
+            )
+            _apply_batch(state, batch)
+        else:
+            state.history.clear()
+            state.oldest_revision = revision
+        state.object_by_name = listed
+        state.unavailable_since = None
         state.is_listed = True
         state.era = era
         state.revision = revision
-        state.oldest_revision = revision
         _notify_watches(state)
 
     def apply_changes(self, kind: str, batch: ChangeBatch) -> None:
         """Apply changes of a kind and record them for watches."""
         state = self._state_by_kind.setdefault(kind, _KindState())
-        for change in batch.events:
-            name = change.object.meta.name
-            if change.deleted:
-                state.object_by_name.pop(name, None)
-            else:
-                state.object_by_name[name] = change.object
-            state.history.append((batch.store_revision, change))
-        while len(state.history) > _MAX_HISTORY_CHANGES:
-            state.oldest_revision = state.history.popleft()[0]
+        _apply_batch(state, batch)
         if batch.events:
             _notify_watches(state)
         elif state.revision != batch.store_revision:
@@ -165,8 +175,9 @@
                     await wait_for(
                         state.changed.wait(), int(query['wait_ms']) / _MS_PER_S
                     )
+        await self._wait_for_recovery(state)
         is_stale = self._now() - self._store_replied_at > self._max_staleness
-        if is_stale or state.is_unavailable:
+        if is_stale or state.unavailable_since is not None:
             return HttpResponse(_UNAVAILABLE)
         after = int(query['watch']) if 'watch' in query else None
         if after is not None and not (
@@ -175,6 +186,14 @@
             return HttpResponse(_GONE)
         return _build_response(state, after, is_compressed=is_compressed)
 
+    async def _wait_for_recovery(self, state: _KindState) -> None:
+        while state.unavailable_since is not None:
+            left = state.unavailable_since + _RECOVERY_TIME - self._now()
+            try:
+                await wait_for(state.changed.wait(), max(0, left))
+            except TimeoutError:
+                return
+
 
 def _build_response(
     state: _KindState, after: int | None, *, is_compressed: bool
@@ -212,6 +231,35 @@
     return {'events': events, 'store_revision': state.revision}
 
 
+def _find_changes(
+    before: dict[str, StoreObject], after: dict[str, StoreObject]
+) -> list[Change]:
+    """Return the changes from one listing to a later one."""
+    changes = [
+        Change(one)
+        for name, one in after.items()
+        if name not in before or before[name].meta.rev != one.meta.rev
+    ]
+    changes.extend(
+        Change(one, deleted=True)
+        for name, one in before.items()
+        if name not in after
+    )
+    return changes
+
+
+def _apply_batch(state: _KindState, batch: ChangeBatch) -> None:
+    for change in batch.events:
+        name = change.object.meta.name
+        if change.deleted:
+            state.object_by_name.pop(name, None)
+        else:
+            state.object_by_name[name] = change.object
+        state.history.append((batch.store_revision, change))
+    while len(state.history) > _MAX_HISTORY_CHANGES:
+        state.oldest_revision = state.history.popleft()[0]
+
+
 def _notify_watches(state: _KindState) -> None:
     """Wake the waiting watches after a change; drop the encoded bodies."""
     state.body_by_query.clear()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,6 +7,7 @@
 from testtools import ExpectedException, TestCase
 
 from sesametrack.contracts.exceptions import (
+    PlatformUnavailableError,
     RevisionExpiredError,
     StoreRestoredError,
 )
@@ -43,6 +44,8 @@
 _CALL_MARGIN_S = 2
 _MAX_POLLS = 150
 _POLL_INTERVAL_S = 0.02
+# Longest time for which a relay may delay its refusal.
+_MAX_HOLD_S = 0.7
 
 
 def make_fleet(size: int) -> list[FleetVm]:
@@ -315,6 +318,83 @@
         return statuses
 
 
+class RelayRecoveryTest(TestCase):
+    """A relay whose own watch was cut for a moment keeps its followers.
+
+    Guards against a herd: a store that cut all watches got three listings
+    and as many watches of every VM of the fleet at the same moment, as both
+    relays of each failure domain refused their followers at once.
+    """
+
+    def test_short_loss(self) -> None:
+        """Watches and listings wait for the relay's next listing."""
+        run(self.check_short_loss())
+
+    async def check_short_loss(self) -> None:
+        """Lose a kind for a fifth of a second, and change it meanwhile."""
+        relay = Relay(f'{_HOST}:{_FIRST_RELAY_PORT}', monotonic, 9)
+        await relay.start()
+        watcher, lister = [
+            StoreConnection(f'{_HOST}:{_FIRST_RELAY_PORT}') for _ in range(2)
+        ]
+        before, after = make_objects(3, 7), make_objects(4, 7)
+        after[1] = make_objects(2, 9)[1]
+        removed = after.pop(0)
+        try:
+            relay.apply_listing('servers', before, 7)
+            relay.record_store_reply()
+            await watcher.list_objects('servers')
+            watch = create_task(watcher.watch('servers', 7, 1))
+            await sleep(0.05)
+            relay.mark_unavailable('servers')
+            listing = create_task(lister.list_objects('servers'))
+            await sleep(0.2)
+            relay.apply_listing('servers', after, 9)
+            batch = await watch
+            self.assertEqual((after, 9), await listing)
+        finally:
+            watcher.close()
+            lister.close()
+            await relay.close()
+        self.assertEqual(9, batch.store_revision)
+        self.assertEqual(
+            {
+                (removed.meta.name, True),
+                (after[0].meta.name, False),
+                (after[-1].meta.name, False),
+            },
+            {(one.object.meta.name, one.deleted) for one in batch.events},
+        )
+
+    def test_long_loss(self) -> None:
+        """A relay that can't list again refuses soon."""
+        run(self.check_long_loss())
+
+    async def check_long_loss(self) -> None:
+        """Lose a kind for longer than a follower may wait."""
+        relay = Relay(f'{_HOST}:{_FIRST_RELAY_PORT}', monotonic, 9)
+        await relay.start()
+        connection = StoreConnection(f'{_HOST}:{_FIRST_RELAY_PORT}')
+        try:
+            relay.apply_listing('config', [], 7)
+            relay.record_store_reply()
+            await connection.list_objects('config')
+            watch = create_task(connection.watch('config', 7, 1.2))
+            await sleep(0.05)
+            lost_at = monotonic()
+            relay.mark_unavailable('config')
+            with ExpectedException(PlatformUnavailableError):
+                await watch
+            self.assertLess(monotonic() - lost_at, _MAX_HOLD_S)
+            asked_at = monotonic()
+            with ExpectedException(PlatformUnavailableError):
+                await connection.list_objects('config')
+            self.assertLess(monotonic() - asked_at, _MAX_HOLD_S / 2)
+        finally:
+            connection.close()
+            await relay.close()
+
+
 class RelayEraTest(TestCase):
     """A relay that has listed a store that came back from an older copy."""
 
