Call the store rarely while it is away, and hardly after restarts

Cause: calls to the store grew with the number of VMs. While it was away each VM tried all three kinds of objects ten times a second, and after a restart each listed all of them there and wrote its entry twice. Change: sources that fail are tried again after growing delays: relays within a second, the store by VMs that have relays after 2 to 8 s, as the relays notice its return. The other kinds wait for the listing of the upstreams. A VM that reads from the store goes over to a relay only once that has replied, and keeps its watch until then. Restarted VMs list the fleet first (a stale copy costs a tenth), then the objects at a relay, and write their entry once. Registration that failed is repeated when the store replies to another call.

--- a/src/sesametrack/contracts/exceptions.py
+++ b/src/sesametrack/contracts/exceptions.py
@@ -71,6 +71,10 @@
     """A conditional write found a different version than it expected."""
 
 
+class ObjectMissingError(PlatformError):
+    """The object to be replaced does not exist."""
+
+
 class RefusalError(SesametrackError):
     """A caller's request ends without an answer."""
 
--- a/src/sesametrack/platform/object_watcher.py
+++ b/src/sesametrack/platform/object_watcher.py
@@ -14,6 +14,7 @@
     RevisionExpiredError,
 )
 from sesametrack.contracts.types import (
+    Address,
     FailureDomainId,
     Instant,
     Seconds,
@@ -49,10 +50,13 @@
 _FOLLOWER_WAIT: Seconds = 1.2
 RELAY_MAX_STALENESS: Seconds = 2.1
 _SOURCE_SWITCH_DELAY: Seconds = 0.02
-_SOURCES_TIMEOUT: Seconds = 3
-_MIN_RETRY_DELAY: Seconds = 0.1
-_MAX_RETRY_DELAY: Seconds = 0.8
-_MAX_DOUBLINGS = 5
+# How long the watches wait for the fleet's first listing, which names the
+# relays: on the first start of all VMs, and after a restart of this one.
+_FIRST_SOURCES_TIMEOUT: Seconds = 3
+_SOURCES_TIMEOUT: Seconds = 0.5
+_RELIST_DELAY: Seconds = 0.1
+# While the upstreams can't be listed, the other kinds are tried this rarely.
+_OTHER_KINDS_DELAY: Seconds = 2
 
 # Kinds of objects.
 _UPSTREAMS = 'servers'
@@ -119,7 +123,13 @@
         self._rng = rng
         self._tasks: list[Task] = []
         self._connection_by_kind: dict[str, StoreConnection] = {}
-        self._failures_by_kind: dict[str, int] = {}
+        self._failed_kinds: set[str] = set()
+        self._closed_calls = 0
+        self._sources_timeout = _SOURCES_TIMEOUT
+        # Cleared while the upstreams can't be listed at the store.
+        self._is_store_usable = AsyncEvent()
+        self._is_store_usable.set()
+        self._revision_by_kind: dict[str, int] = {}
         self._era_by_kind: dict[str, int | None] = {}
         self._latest_era = 0
         # Kinds whose watch this VM itself has ended.
@@ -129,7 +139,8 @@
     @property
     def calls(self) -> int:
         """Number of calls made to the store and to relays."""
-        return sum(one.calls for one in self._connection_by_kind.values())
+        open_calls = sum(one.calls for one in self._connection_by_kind.values())
+        return self._closed_calls + open_calls
 
     def set_sources_ready(self, *, is_relaying: bool) -> None:
         """Start the watches, as the sources are known.
@@ -142,11 +153,11 @@
     async def start(self, *, is_first_start: bool) -> None:
         """Watch all kinds until `close`.
 
-        On the first start of the whole system the sources are not known yet:
-        the watches wait for `set_sources_ready`, up to a timeout.
+        The watches wait for `set_sources_ready`, up to a timeout: most VMs
+        need not call the store if they know the relays.
         """
-        if not is_first_start:
-            self._sources_ready.set()
+        if is_first_start:
+            self._sources_timeout = _FIRST_SOURCES_TIMEOUT
         kinds: tuple[tuple[str, Seconds, Callable, Callable], ...] = (
             (
                 _DESIRED_STATES,
@@ -208,16 +219,18 @@
         on_change: Callable[[StoreObject, bool], None],
     ) -> None:
         with suppress(TimeoutError):
-            await wait_for(self._sources_ready.wait(), _SOURCES_TIMEOUT)
+            await wait_for(self._sources_ready.wait(), self._sources_timeout)
         while True:
-            delay = _MIN_RETRY_DELAY
+            await self._wait_for_source(kind)
+            delay = _RELIST_DELAY
             try:
                 await self._list_and_watch(kind, wait, on_list, on_change)
             except RevisionExpiredError as error:
                 self._relay.mark_unavailable(kind)
                 log_event(_log, 'history-gone', kind=kind, problem=str(error))
             except PlatformError as error:
-                delay = self._handle_failure(kind, error)
+                delay = _SOURCE_SWITCH_DELAY
+                self._handle_failure(kind, error)
             except Exception:
                 # Without this task the VM would never see another change.
                 self._relay.mark_unavailable(kind)
@@ -235,16 +248,56 @@
         source = self._sources.current(self._now())
         connection.set_address(source, is_relay=source != self._sources.store)
         self._ended_kinds.discard(kind)
+        revision = await self._list(connection, kind, on_list)
+        while True:
+            await self._watch(connection, kind, revision, wait, on_change)
+            source = self._sources.current(self._now())
+            if source == self._sources.store:
+                # It must be listed first, as this VM's relay needs that.
+                return
+            # A relay is used from its first reply on; until then this VM
+            # goes on with the watch that it has.
+            candidate = StoreConnection(source)
+            candidate.set_address(source, is_relay=True)
+            try:
+                revision = await self._list(candidate, kind, on_list)
+            except PlatformError as error:
+                candidate.close()
+                self._record_relay_failure(source, error)
+                revision = self._revision_by_kind[kind]
+                continue
+            connection.close()
+            self._closed_calls += connection.calls
+            self._connection_by_kind[kind] = candidate
+            connection = candidate
+
+    async def _wait_for_source(self, kind: str) -> None:
+        if kind != _UPSTREAMS:
+            with suppress(TimeoutError):
+                await wait_for(self._is_store_usable.wait(), _OTHER_KINDS_DELAY)
+        await sleep(self._sources.wait_time(self._now()))
+
+    async def _list(
+        self,
+        connection: StoreConnection,
+        kind: str,
+        on_list: Callable[[list[StoreObject]], None],
+    ) -> int:
+        """Apply a listing; return its revision."""
         objects, revision = await connection.list_objects(kind)
         self._require_current_era(connection)
         self._record_era(connection, kind, revision)
+        self._sources.record_success(connection.address)
         if connection.address == self._sources.store:
             self._relay.apply_listing(kind, objects, revision, connection.era)
             self._record_store_reply(kind)
-        if self._failures_by_kind.pop(kind, 0):
+        if kind == _UPSTREAMS:
+            self._is_store_usable.set()
+        if kind in self._failed_kinds:
+            self._failed_kinds.discard(kind)
             self._listener.on_store_regained(kind)
         on_list(objects)
-        await self._watch(connection, kind, revision, wait, on_change)
+        return revision
 
     def _require_current_era(self, connection: StoreConnection) -> None:
         """Refuse a listing of a relay that has not heard of a restore."""
@@ -298,7 +351,9 @@
         wait: Seconds,
         on_change: Callable[[StoreObject, bool], None],
     ) -> None:
+        """Apply changes until another source is to be used."""
         while True:
+            self._revision_by_kind[kind] = revision
             batch: ChangeBatch = await connection.watch(
                 kind, revision, self._wait_time(kind, wait)
             )
@@ -310,9 +365,8 @@
             revision = batch.store_revision
             is_burst = kind == _UPSTREAMS and batch.events
             await sleep(_UPSTREAM_BATCH_DELAY if is_burst else _BATCH_DELAY)
+            self._revision_by_kind[kind] = revision
             if connection.address != self._sources.current(self._now()):
-                # The new source must be listed first: if it is the store,
-                # this VM's relay needs the listing.
                 return
 
     def _wait_time(self, kind: str, wait: Seconds) -> Seconds:
@@ -329,31 +383,35 @@
         if kind == _UPSTREAMS:
             self._relay.record_store_reply()
 
-    def _handle_failure(self, kind: str, error: PlatformError) -> Seconds:
-        """Report the first failure; return the delay before the next try."""
+    def _handle_failure(self, kind: str, error: PlatformError) -> None:
+        """Record a failed call, and report the first one."""
         if kind in self._ended_kinds:
             self._ended_kinds.discard(kind)
             self._relay.mark_unavailable(kind)
-            return _MIN_RETRY_DELAY
+            return
         source = self._connection_by_kind[kind].address
         if source != self._sources.store:
-            log_event(_log, 'relay-lost', relay=source, problem=str(error))
-            self._sources.record_failure(source, self._now())
-            return _SOURCE_SWITCH_DELAY
+            self._record_relay_failure(source, error)
+            return
         self._relay.mark_unavailable(kind)
-        failures = self._failures_by_kind.get(kind, 0)
-        self._failures_by_kind[kind] = failures + 1
-        doublings = min(failures, _MAX_DOUBLINGS)
-        delay = min(_MAX_RETRY_DELAY, _MIN_RETRY_DELAY * 2**doublings)
-        if failures:
-            return delay
+        self._sources.record_failure(source, self._now())
+        if kind == _UPSTREAMS:
+            self._is_store_usable.clear()
+        if kind in self._failed_kinds:
+            return
+        self._failed_kinds.add(kind)
         self._listener.on_store_lost(kind, str(error))
         if kind == _UPSTREAMS:
             # The connections of the other watches may be unresponsive too.
             for other, connection in self._connection_by_kind.items():
-                if other != kind:
+                if other != kind and connection.address == source:
                     connection.close()
-        return delay
+
+    def _record_relay_failure(
+        self, relay: Address, error: PlatformError
+    ) -> None:
+        if self._sources.record_failure(relay, self._now()):
+            log_event(_log, 'relay-lost', relay=relay, problem=str(error))
 
     def _on_desired_states_listed(self, objects: list[StoreObject]) -> None:
         for one in objects:
--- a/src/sesametrack/platform/registration.py
+++ b/src/sesametrack/platform/registration.py
@@ -2,12 +2,17 @@
 
 from asyncio import Event, Task, create_task, sleep, wait_for
 from collections.abc import Callable
+from contextlib import suppress
 from logging import getLogger
 from random import Random
 
 from msgspec import Struct, ValidationError, convert
 
-from sesametrack.contracts.exceptions import ConflictError, PlatformError
+from sesametrack.contracts.exceptions import (
+    ConflictError,
+    ObjectMissingError,
+    PlatformError,
+)
 from sesametrack.contracts.types import Address, Instant, Seconds, VmId
 from sesametrack.platform.store import StoreConnection, StoreObject
 from sesametrack.telemetry.structured_log import log_event
@@ -15,7 +20,10 @@
 from sesametrack.vms.watchers import FleetVm
 
 _OBJECT_KIND = 'sesametrack-vms'
-_RETRY_DELAY: Seconds = 1
+# First and longest delay before failed calls are repeated: many VMs may lose
+# the store at once.
+_MIN_RETRY_DELAY: Seconds = 0.5
+_MAX_RETRY_DELAY: Seconds = 8
 # On the first start of the whole system, the VMs need this long to see each
 # other's entries; later there are entries of earlier processes.
 _FIRST_LISTING_DELAY: Seconds = 1.5
@@ -34,6 +42,8 @@
     grant_address: str = ''
     # Receives messages about permits. Older versions have none.
     permit_address: str = ''
+    # Receives requests for extra sends. Older versions have none.
+    budget_address: str = ''
 
 
 class Registration:
@@ -56,7 +66,8 @@
         self._is_first_start = is_first_start
         self._connection = StoreConnection(address)
         self._own_vm = own_vm
-        self._is_created = False
+        # Earlier processes of this VM have written the entry.
+        self._is_created = not is_first_start
         self._on_fleet = on_fleet
         self._now = now
         self._rng = rng
@@ -65,7 +76,9 @@
         self._fleet = FleetCount(own_vm.vm)
         self._entry_by_vm: dict[VmId, _Entry] = {}
         self._era: int | None = None
-        self._is_restored = Event()
+        self._is_woken = Event()
+        self._is_entry_lost = False
+        self._has_failed = False
         self._task: Task | None = None
 
     async def start(self) -> None:
@@ -80,35 +93,46 @@
 
     def record_restore(self) -> None:
         """Write this VM's entry again at once, as the store may lack it."""
-        self._is_restored.set()
+        self._is_entry_lost = True
+        self._is_woken.set()
+
+    def record_store_reply(self) -> None:
+        """Repeat failed calls at once, as the store replies to others."""
+        if self._has_failed:
+            self._is_woken.set()
 
     async def _run(self) -> None:
-        await self._register()
         if self._is_first_start:
+            await self._register()
             await sleep(_FIRST_LISTING_DELAY)
-        has_listed = False
+        is_written = self._is_first_start
+        retry_delay = _MIN_RETRY_DELAY
         while True:
-            delay = self._fleet.interval
             try:
                 await self._list_fleet()
-                if has_listed:
+                if not is_written:
                     await self._write_heartbeat()
-                has_listed = True
-                delay = self._fleet.interval
             except PlatformError as error:
-                delay = _RETRY_DELAY
                 log_event(_log, 'registration-failed', problem=str(error))
+                self._has_failed = True
+                delay = retry_delay
+                retry_delay = min(_MAX_RETRY_DELAY, 2 * retry_delay)
+            else:
+                self._has_failed = False
+                is_written = False
+                delay = self._fleet.interval
+                retry_delay = _MIN_RETRY_DELAY
             await self._pause(delay * (0.75 + self._rng.random() / 2))
 
     async def _pause(self, delay: Seconds) -> None:
         """Wait for the next round; after a restore, write the entry first."""
-        try:
-            await wait_for(self._is_restored.wait(), delay)
-        except TimeoutError:
-            return
-        self._is_restored.clear()
-        self._is_created = False
-        await self._register()
+        with suppress(TimeoutError):
+            await wait_for(self._is_woken.wait(), delay)
+        self._is_woken.clear()
+        if self._is_entry_lost:
+            self._is_entry_lost = False
+            self._is_created = False
+            await self._register()
 
     async def _register(self) -> None:
         try:
@@ -126,20 +150,26 @@
             self._heartbeat,
             own_vm.grant_address,
             own_vm.permit_address,
+            own_vm.budget_address,
         )
         is_created, self._is_created = self._is_created, False
-        if is_created:
-            await self._connection.replace(_OBJECT_KIND, own_vm.vm, entry)
-        else:
-            try:
-                await self._connection.create(_OBJECT_KIND, own_vm.vm, entry)
-            except ConflictError:
-                await self._connection.replace(_OBJECT_KIND, own_vm.vm, entry)
+        try:
+            await self._put(entry, is_created=is_created)
+        except (ConflictError, ObjectMissingError):
+            await self._put(entry, is_created=not is_created)
         self._is_created = True
 
+    async def _put(self, entry: _Entry, *, is_created: bool) -> None:
+        put = (
+            self._connection.replace if is_created else self._connection.create
+        )
+        await put(_OBJECT_KIND, self._own_vm.vm, entry)
+
     async def _list_fleet(self) -> None:
+        # On the first start of all VMs a stale copy would have no entries.
+        is_stale_useful = self._fleet.has_heartbeats or not self._is_first_start
         objects, _ = await self._connection.list_objects(
-            _OBJECT_KIND, allow_stale=self._fleet.has_heartbeats
+            _OBJECT_KIND, allow_stale=is_stale_useful
         )
         entry_by_vm = {
             one.meta.name: entry
@@ -173,6 +203,7 @@
         entry.peer_address,
         entry.grant_address,
         entry.permit_address,
+        entry.budget_address,
     )
 
 
--- a/src/sesametrack/platform/store.py
+++ b/src/sesametrack/platform/store.py
@@ -11,6 +11,7 @@
 
 from sesametrack.contracts.exceptions import (
     ConflictError,
+    ObjectMissingError,
     PlatformLostReplyError,
     PlatformUnavailableError,
     ProtocolError,
@@ -90,8 +91,8 @@
     Every failure closes the connection. Reads raise
     PlatformUnavailableError or RevisionExpiredError, or StoreRestoredError if
     the reply belongs to another history than the listing. Writes raise
-    PlatformUnavailableError, ConflictError, or PlatformLostReplyError if
-    they may have taken effect.
+    PlatformUnavailableError, ConflictError, ObjectMissingError, or
+    PlatformLostReplyError if they may have taken effect.
     """
 
     def __init__(self, address: Address) -> None:
@@ -219,6 +220,8 @@
         reply = await self._exchange(HttpRequest(method, path, headers, body))
         if reply.status == _CONFLICT:
             raise ConflictError(f'{path} is held by another writer')
+        if reply.status == _NOT_FOUND:
+            raise ObjectMissingError(f'{path} does not exist')
         if reply.status >= _FIRST_SERVER_ERROR and reply.status != _UNAVAILABLE:
             raise PlatformLostReplyError(f'{path}: status {reply.status}')
         self._require_success(reply)
--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -169,7 +169,7 @@
         self._metrics_server = HttpServer(
             settings.address, settings.metrics_port, self._handle_metrics
         )
-        self._sources = StoreSources(settings.platform, settings.vm)
+        self._sources = StoreSources(settings.platform, settings.vm, rng)
         relay_address = f'{settings.address}:{settings.peer_ports[0] + 1}'
         self._relay = Relay(relay_address, steady_time, RELAY_MAX_STALENESS)
         self._object_watcher = ObjectWatcher(
@@ -396,6 +396,7 @@
         """Record that the store is available again for a kind of object."""
         self._unavailable_kinds.discard(kind)
         self._store_recovered_at = steady_time()
+        self._registration.record_store_reply()
         log_event(_log, 'store-regained', kind=kind)
 
     def on_store_era(self, era: int, *, is_restored: bool) -> None:
--- a/src/sesametrack/vms/watchers.py
+++ b/src/sesametrack/vms/watchers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from random import Random
 
 from xxhash import xxh3_64_intdigest
 
@@ -18,7 +19,12 @@
 WATCHERS_PER_DOMAIN = 2
 # In failure domains of up to this many VMs, each VM watches the store.
 SMALL_DOMAIN_VMS = 3
-_RELAY_RETRY_DELAY: Seconds = 5
+# First and longest delay before a failed source is tried again: a relay, the
+# store by a VM without relays, and the store by one that has relays.
+_RELAY_RETRY_DELAYS: tuple[Seconds, Seconds] = (0.25, 1)
+_STORE_RETRY_DELAYS: tuple[Seconds, Seconds] = (0.1, 0.8)
+_FOLLOWER_RETRY_DELAYS: tuple[Seconds, Seconds] = (2, 8)
+_MAX_DOUBLINGS = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,8 +33,9 @@
 
     `relay_address` serves the store's objects to followers, `peer_address`
     receives datagrams and sub-gathers from other VMs, `grant_address` grants
-    of further attempts, `permit_address` requests for permits. These are
-    empty for VMs of older versions, which take none.
+    of further attempts, `permit_address` requests for permits,
+    `budget_address` requests for extra sends. These are empty for VMs of
+    older versions, which take none.
     """
 
     vm: VmId
@@ -37,6 +44,7 @@
     peer_address: Address
     grant_address: Address = ''
     permit_address: Address = ''
+    budget_address: Address = ''
 
 
 def choose_watchers(
@@ -61,15 +69,29 @@
     return ranked[:WATCHERS_PER_DOMAIN]
 
 
+@dataclass(slots=True)
+class _Backoff:
+    """When a source that has failed may be tried again."""
+
+    failures: int = 0
+    until: Instant = float('-inf')
+
+
 class StoreSources:
-    """Selects the source of the store's objects: a relay or the store."""
+    """Selects the source of the store's objects: a relay or the store.
 
-    def __init__(self, store: Address, vm: VmId) -> None:
+    The store gets few calls however many VMs have lost it at once: a VM that
+    has relays tries those again soon, and the store itself ever more rarely,
+    as the relays notice its return.
+    """
+
+    def __init__(self, store: Address, vm: VmId, rng: Random) -> None:
         """Use the store itself until `set_watchers` is called."""
         self._store = store
         self._vm = vm
+        self._rng = rng
         self._relays: list[Address] = []
-        self._failed_until: dict[Address, Instant] = {}
+        self._backoff_by_source: dict[Address, _Backoff] = {}
 
     def set_watchers(self, watchers: list[FleetVm], domain_size: int) -> None:
         """Set the watchers of this VM's failure domain."""
@@ -88,13 +110,43 @@
         return self._store
 
     def current(self, now: Instant) -> Address:
-        """Return the first relay without a recent failure, or the store."""
-        for relay in self._relays:
-            if now >= self._failed_until.get(relay, now):
-                return relay
-        return self._store
-
-    def record_failure(self, address: Address, now: Instant) -> None:
-        """Skip a failed relay until the retry delay has passed."""
+        """Return the source to use once `wait_time` has passed.
+
+        It is the first one without a recent failure, relays before the store,
+        otherwise the one that may be tried again first.
+        """
+        sources = [*self._relays, self._store]
+        return min(sources, key=lambda one: max(now, self._retry_at(one)))
+
+    def wait_time(self, now: Instant) -> Seconds:
+        """Return the time until the current source may be tried."""
+        return max(0, self._retry_at(self.current(now)) - now)
+
+    def record_failure(self, address: Address, now: Instant) -> bool:
+        """Delay the next try of a source, longer after each failure.
+
+        Calls that fail together count as one failure. Return whether it is
+        the first one.
+        """
+        backoff = self._backoff_by_source.setdefault(address, _Backoff())
+        if now < backoff.until:
+            return False
+        first, longest = self._delays(address)
+        delay = min(longest, first * 2 ** min(backoff.failures, _MAX_DOUBLINGS))
+        backoff.failures += 1
+        backoff.until = now + delay * (0.5 + self._rng.random() / 2)
+        return backoff.failures == 1
+
+    def record_success(self, address: Address) -> None:
+        """Record that a source has replied."""
+        self._backoff_by_source.pop(address, None)
+
+    def _retry_at(self, address: Address) -> Instant:
+        backoff = self._backoff_by_source.get(address)
+        return float('-inf') if backoff is None else backoff.until
+
+    def _delays(self, address: Address) -> tuple[Seconds, Seconds]:
+        """Return the first and the longest delay of a failed source."""
         if address != self._store:
-            self._failed_until[address] = now + _RELAY_RETRY_DELAY
+            return _RELAY_RETRY_DELAYS
+        return _FOLLOWER_RETRY_DELAYS if self._relays else _STORE_RETRY_DELAYS
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -112,7 +112,7 @@
         store = f'{_HOST}:{_STORE_PORT}'
         watchers = choose_watchers(fleet, 'north')
         self.listener = RecordingListener()
-        self.sources = StoreSources(store, fleet_vm.vm)
+        self.sources = StoreSources(store, fleet_vm.vm, Random(1))
         self.sources.set_watchers(watchers, len(fleet))
         self.relay = Relay(
             fleet_vm.relay_address, monotonic, RELAY_MAX_STALENESS
@@ -334,9 +334,8 @@
         """Lose a kind for a fifth of a second, and change it meanwhile."""
         relay = Relay(f'{_HOST}:{_FIRST_RELAY_PORT}', monotonic, 9)
         await relay.start()
-        watcher, lister = [
-            StoreConnection(f'{_HOST}:{_FIRST_RELAY_PORT}') for _ in range(2)
-        ]
+        address = f'{_HOST}:{_FIRST_RELAY_PORT}'
+        watcher, lister = StoreConnection(address), StoreConnection(address)
         before, after = make_objects(3, 7), make_objects(4, 7)
         after[1] = make_objects(2, 9)[1]
         removed = after.pop(0)
@@ -352,9 +351,9 @@
             relay.apply_listing('servers', after, 9)
             batch = await watch
             self.assertEqual((after, 9), await listing)
+            lister.close()
         finally:
             watcher.close()
-            lister.close()
             await relay.close()
         self.assertEqual(9, batch.store_revision)
         self.assertEqual(
@@ -473,7 +472,7 @@
     def test_small_domain(self) -> None:
         """In a small failure domain every VM reads from the store."""
         fleet = make_fleet(SMALL_DOMAIN_VMS)
-        sources = StoreSources('store', 'vm-0')
+        sources = StoreSources('store', 'vm-0', Random(1))
         sources.set_watchers(choose_watchers(fleet, 'north'), len(fleet))
         self.assertEqual('store', sources.current(0))
 
@@ -482,7 +481,7 @@
         fleet = make_fleet(20)
         watchers = choose_watchers(fleet, 'north')
         follower = next(one for one in fleet if one not in watchers)
-        sources = StoreSources('store', follower.vm)
+        sources = StoreSources('store', follower.vm, Random(1))
         sources.set_watchers(watchers, len(fleet))
         seen = []
         for _ in range(WATCHERS_PER_DOMAIN + 1):
