Let few VMs hold the budget of extra sends, and lend from it

Cause: every VM had an equal share of the slack of each service: with 195 VMs 1.5 extra sends in ten seconds, 0.7 after a start, so none or one. Change: each failure domain has an equal part, held by two VMs (0.75 and 0.25 of it): for shards of wide gathers their aggregators, for other services by rank. Other VMs borrow single extra sends from them by datagram when they need one; what is lent counts as spent. In domains of up to three VMs each holds an equal part, as before, and may borrow. A VM that does not know the fleet has no part; it assumed 16 VMs before. Conclusion: no round trip where no extra send is needed, one within the domain where it is. The bound still rests on how VMs see the fleet: two VMs that both take themselves for the first holder of a domain add 0.15 at five domains.

--- a/src/sesametrack/programs/exchange_driver.py
+++ b/src/sesametrack/programs/exchange_driver.py
@@ -26,6 +26,7 @@
 from sesametrack.routing.events import (
     Action,
     Admit,
+    BorrowExtraSend,
     CancelSubgather,
     Deliver,
     FailureKind,
@@ -68,6 +69,15 @@
 _log = getLogger('forwarder')
 
 
+@dataclass(frozen=True, slots=True)
+class PeerCalls:
+    """Calls to other VMs on behalf of active requests; none of them waits."""
+
+    send_grant: Callable[[UpstreamId, AttemptGrant], None]
+    request_permits: PermitRequester
+    borrow_extra_send: Callable[[ServiceId], None]
+
+
 @dataclass(slots=True)
 class Readiness:
     """Whether this VM should receive new caller requests."""
@@ -98,15 +108,13 @@
         timings: TimingTable,
         readiness: Readiness,
         connection_limit: Callable[[ServiceId], int],
-        send_grant: Callable[[UpstreamId, AttemptGrant], None],
-        request_permits: PermitRequester,
+        peers: PeerCalls,
         metrics: Metrics,
         loop: AbstractEventLoop,
         now: Callable[[], Instant],
     ) -> None:
         """Create the pools; `start` begins the periodic work."""
-        self._send_grant = send_grant
-        self._request_permits = request_permits
+        self._peers = peers
         # Differs between processes, so that a grant never applies to a
         # sub-gather of an earlier process of this VM.
         self._grant_id_base = randbits(_GRANT_ID_BASE_BITS) << _ATTEMPT_ID_BITS
@@ -320,7 +328,7 @@
         callback = None
         if action.is_admission:
             callback = partial(self._on_permits, active_request)
-        self._request_permits(action, callback)
+        self._peers.request_permits(action, callback)
 
     def _on_permits(
         self,
@@ -334,6 +342,15 @@
             next_actions = exchange.on_permits(wait, retry_after, now)
             self._execute_actions(active_request, next_actions, now)
 
+    @_execute.register
+    def _ask_for_extra_send(
+        self,
+        action: BorrowExtraSend,
+        active_request: ActiveRequest,
+        now: Instant,
+    ) -> None:
+        self._peers.borrow_extra_send(action.service)
+
     @_execute.register
     def _admit(
         self, action: Admit, active_request: ActiveRequest, now: Instant
@@ -414,7 +431,7 @@
         in_flight = self._in_flight_by_attempt.get(action.attempt_id)
         if in_flight is not None:
             self._metrics.count('grants.sent')
-            self._send_grant(
+            self._peers.send_grant(
                 in_flight.upstream.id,
                 AttemptGrant(
                     self._grant_id_base | action.attempt_id,
--- a/src/sesametrack/programs/forwarder.py
+++ b/src/sesametrack/programs/forwarder.py
@@ -33,12 +33,14 @@
 from sesametrack.programs.active_requests import ActiveRequest
 from sesametrack.programs.exchange_driver import (
     ExchangeDriver,
+    PeerCalls,
     PermitRequester,
     Readiness,
 )
 from sesametrack.programs.permit_exchange import PermitCallback
 from sesametrack.routing.admission import admit
 from sesametrack.routing.aggregators import AGGREGATOR_SERVICE, Aggregators
+from sesametrack.routing.budget_holders import BudgetHolders
 from sesametrack.routing.calls import CallContext
 from sesametrack.routing.desired_state import Route
 from sesametrack.routing.directory import Upstream, UpstreamDirectory
@@ -98,7 +100,9 @@
         self.routes = RouteTable()
         self.directory = UpstreamDirectory()
         self.aggregators = Aggregators(vm, vm_domain)
+        self.budget_holders = BudgetHolders(vm, vm_domain)
         self.budget = budget
+        self.budget.set_shares(self.budget_holders)
         self.readiness = Readiness()
         self.vm_count = DEFAULT_VM_COUNT
         self._shares = LimitShares(DEFAULT_VM_COUNT)
@@ -120,19 +124,28 @@
             self._timings,
             self.readiness,
             self._connection_limit,
-            self._send_grant,
-            self._request_permits,
+            PeerCalls(
+                self._send_grant,
+                self._request_permits,
+                self._borrow_extra_send,
+            ),
             metrics,
             loop,
             now,
         )
         self._pools = self._driver.pools
         self._permit_requester: PermitRequester | None = None
+        self._extra_send_borrower: Callable[[ServiceId], None] | None = None
         self._last_used_at_by_route: dict[str, Instant] = {}
 
-    def start(self, request_permits: PermitRequester) -> None:
-        """Start the periodic work; permits are requested by this callback."""
+    def start(
+        self,
+        request_permits: PermitRequester,
+        borrow_extra_send: Callable[[ServiceId], None],
+    ) -> None:
+        """Start the periodic work; the callbacks ask other VMs."""
         self._permit_requester = request_permits
+        self._extra_send_borrower = borrow_extra_send
         self._driver.start()
 
     def answer_all(self) -> None:
@@ -194,7 +207,11 @@
         if self.routes.state is not None:
             gathers = {route.shards for route in self.routes.state.routes}
         self._shares = self.aggregators.shares(vm_count, gathers)
-        self.budget.set_shares(self._shares)
+        self.budget_holders.apply_groups(
+            group
+            for shards in gathers
+            for group in self.aggregators.groups(shards)
+        )
         self._pools.update_limits()
 
     def apply_desired_state(self) -> None:
@@ -265,8 +282,8 @@
         """Update the live VMs, which share the limits and the sub-gathers."""
         is_changed, removed_ids = self.aggregators.apply(fleet)
         self._pools.remove(removed_ids)
-        if is_changed or vm_count != self.vm_count:
-            self.apply_vm_count(vm_count)
+        self.budget_holders.apply_fleet(fleet)
+        self.apply_vm_count(vm_count)
         if is_changed:
             self._preopen_aggregators()
 
@@ -475,6 +492,9 @@
     ) -> None:
         self._permit_requester(request, callback)
 
+    def _borrow_extra_send(self, service: ServiceId) -> None:
+        self._extra_send_borrower(service)
+
     def _send_grant(self, peer_id: UpstreamId, grant: AttemptGrant) -> None:
         address = self.aggregators.grant_address(peer_id)
         if address:
--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -47,6 +47,7 @@
 )
 from sesametrack.platform.registration import Registration
 from sesametrack.platform.relay import Relay
+from sesametrack.programs.budget_exchange import BudgetExchange
 from sesametrack.programs.forwarder import Forwarder
 from sesametrack.programs.hint_exchange import HintExchange
 from sesametrack.programs.permit_exchange import PermitExchange
@@ -121,6 +122,7 @@
         self._settings = settings
         self._path = path
         self._loop = get_running_loop()
+        first_port = settings.peer_ports[0]
         self._metrics = Metrics(None, '')
         rng = Random()
         budget_rule = BudgetRule(
@@ -128,7 +130,7 @@
             settings.retries.window_s,
             settings.retries.slack,
         )
-        grant_address = f'{settings.address}:{settings.peer_ports[0] + 2}'
+        grant_address = f'{settings.address}:{first_port + 2}'
         self._grant_endpoint = DatagramEndpoint(
             grant_address, self._on_attempts_granted, AttemptGrant
         )
@@ -142,7 +144,7 @@
             steady_time,
             rng,
         )
-        peer_address = f'{settings.address}:{settings.peer_ports[0]}'
+        peer_address = f'{settings.address}:{first_port}'
         host, port = split_address(settings.callers)
         self._caller_server = CallerServer(
             host,
@@ -170,7 +172,7 @@
             settings.address, settings.metrics_port, self._handle_metrics
         )
         self._sources = StoreSources(settings.platform, settings.vm, rng)
-        relay_address = f'{settings.address}:{settings.peer_ports[0] + 1}'
+        relay_address = f'{settings.address}:{first_port + 1}'
         self._relay = Relay(relay_address, steady_time, RELAY_MAX_STALENESS)
         self._object_watcher = ObjectWatcher(
             self._sources, self._relay, self, steady_time, rng
@@ -186,7 +188,16 @@
             steady_time,
             rng,
         )
-        permit_address = f'{settings.address}:{settings.peer_ports[0] + 3}'
+        permit_address = f'{settings.address}:{first_port + 3}'
+        budget_address = f'{settings.address}:{first_port + 4}'
+        self._budget_exchange = BudgetExchange(
+            budget_address,
+            self._forwarder.budget,
+            self._forwarder.budget_holders,
+            self._metrics,
+            self._loop,
+            steady_time,
+        )
         self._registration = Registration(
             settings.platform,
             FleetVm(
@@ -196,6 +207,7 @@
                 peer_address,
                 grant_address,
                 permit_address,
+                budget_address,
             ),
             self._on_fleet_listed,
             steady_time,
@@ -228,7 +240,9 @@
         await self._readiness_server.start()
         await self._metrics_server.start()
         await self._caller_server.start()
-        self._forwarder.start(self._permit_exchange.request)
+        self._forwarder.start(
+            self._permit_exchange.request, self._budget_exchange.borrow
+        )
         self._check_reachability()
         await self._grant_endpoint.start()
         await self._subgather_server.start()
@@ -238,6 +252,7 @@
         )
         await self._hint_exchange.start()
         await self._permit_exchange.start()
+        await self._budget_exchange.start()
         await self._registration.start()
         log_event(
             _log,
@@ -289,6 +304,7 @@
         await self._registration.close()
         await self._hint_exchange.close()
         await self._permit_exchange.close()
+        await self._budget_exchange.close()
         await self._object_watcher.close()
         await self._caller_server.close()
         await self._subgather_server.close()
--- a/src/sesametrack/routing/calls.py
+++ b/src/sesametrack/routing/calls.py
@@ -9,6 +9,7 @@
 from sesametrack.routing.events import (
     Action,
     AttemptLimit,
+    BorrowExtraSend,
     FailureKind,
     LogEvent,
     ReplyKind,
@@ -30,6 +31,10 @@
 _RETRY_DELAY: Seconds = 0.008
 # How long a request without any attempt left waits for further ones.
 _GRANT_TIMEOUT: Seconds = 0.01
+# Interval at which a call looks for the extra send that it has asked for, and
+# how long it waits: two holders may be asked one after the other.
+_BORROW_POLL_INTERVAL: Seconds = 0.002
+_MAX_BORROW_WAIT: Seconds = 0.03
 # Extra sends that hedges leave in the retry budget for retries.
 _HEDGE_RESERVE = 0.25
 _NEVER: Instant = float('inf')
@@ -99,6 +104,8 @@
     _may_have_arrived: bool = False
     # Whether a hedge or retry waits for further attempts.
     _is_awaiting_grant: bool = False
+    # Since when a hedge or retry waits for an extra send of another VM.
+    _borrowing_since: Instant | None = None
 
     def __post_init__(self) -> None:
         """Grant all attempts of the route unless there is another limit."""
@@ -196,9 +203,11 @@
             return requests
         if upstream.health.is_ejected(now):
             return []
-        if not self.context.budget.spend(self.service, now, _HEDGE_RESERVE):
-            return [self._make_event('hedge-refused', 'budget', now)]
-        return self._start_attempt(upstream, 'hedge', now)
+        if self.context.budget.spend(self.service, now, _HEDGE_RESERVE):
+            return self._start_attempt(upstream, 'hedge', now)
+        if self._may_wait_for_budget(now):
+            return self._wait_for_budget(now)
+        return [self._make_event('hedge-refused', 'budget', now)]
 
     def _retry(
         self, attempt: Attempt, reason: str, now: Instant
@@ -222,10 +231,28 @@
         # that follows only unsent ones costs nothing.
         is_extra = self._may_have_arrived
         if is_extra and not self.context.budget.spend(self.service, now):
+            if self._may_wait_for_budget(now):
+                return self._wait_for_budget(now)
             self._finish('retry-budget')
             return [self._make_event('retry-refused', 'budget', now)]
         return self._start_attempt(upstream, reason, now)
 
+    def _may_wait_for_budget(self, now: Instant) -> bool:
+        """Return whether another VM may still lend an extra send."""
+        since = now if self._borrowing_since is None else self._borrowing_since
+        return (
+            now < since + _MAX_BORROW_WAIT
+            and self.context.budget.may_borrow(self.service, now)
+        )
+
+    def _wait_for_budget(self, now: Instant) -> list[Action]:
+        """Ask once, then look for the result again and again."""
+        self.wake_at = now + _BORROW_POLL_INTERVAL
+        if self._borrowing_since is not None:
+            return []
+        self._borrowing_since = now
+        return [BorrowExtraSend(self.service)]
+
     def _wait_for_capacity(self, now: Instant) -> list[Action]:
         usable = self.context.directory.usable(self.service)
         if all(upstream.health.is_unreachable for upstream in usable):
@@ -286,6 +313,7 @@
         self.attempts.append(attempt)
         upstream.health.start_attempt(attempt.id, now)
         self.context.pacer.record_send(upstream, now)
+        self._borrowing_since = None
         self.wake_at = _NEVER
         if self.route.is_repeatable and reason != 'hedge':
             timing = self.context.timings.for_route(self.route)
--- a/src/sesametrack/routing/events.py
+++ b/src/sesametrack/routing/events.py
@@ -214,6 +214,16 @@
     is_admission: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class BorrowExtraSend:
+    """Ask other VMs for an extra send to a service.
+
+    The retry budget gets the result.
+    """
+
+    service: ServiceId
+
+
 @dataclass(frozen=True, slots=True)
 class Admit:
     """Start the exchange that an admission has obtained permits for."""
@@ -226,5 +236,6 @@
     | CancelSubgather
     | GrantAttempts
     | RequestPermits
+    | BorrowExtraSend
     | Admit
 )
--- a/src/sesametrack/routing/retry_budget.py
+++ b/src/sesametrack/routing/retry_budget.py
@@ -2,11 +2,38 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from sesametrack.contracts.types import Instant, Seconds, ServiceId
-from sesametrack.routing.shares import LimitShares
 
 _BUCKETS = 20
+# How long a borrowed extra send may be used. The lender counts it from before
+# that on, for a twentieth of the window longer than the rule asks.
+_BORROWED_VALIDITY: Seconds = 0.4
+# Lenders that had nothing left are asked again after this.
+_DENIAL_TIME: Seconds = 0.25
+
+
+class BudgetShares(Protocol):
+    """This VM's part of the slack of each service."""
+
+    def fraction(self, service: ServiceId) -> float:
+        """Return the fraction of the slack that this VM may spend or lend."""
+
+    def has_lenders(self, service: ServiceId) -> bool:
+        """Return whether other VMs hold shares that they may lend."""
+
+
+class NoShares(BudgetShares):
+    """The shares of a VM that does not know the fleet."""
+
+    def fraction(self, service: ServiceId) -> float:
+        """Return 0: any other fraction may be too much."""
+        return 0
+
+    def has_lenders(self, service: ServiceId) -> bool:
+        """Return False, as no other VM is known."""
+        return False
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +55,9 @@
     buckets: deque = field(default_factory=deque)
     requests: int = 0
     extras: int = 0
+    # When each extra send that was borrowed from another VM expires.
+    borrowed: deque = field(default_factory=deque)
+    denied_until: Instant = float('-inf')
 
 
 class RetryBudget:
@@ -35,9 +65,10 @@
 
     Each VM may spend a fraction of the requests that it forwarded itself,
     plus its share of the slack, so that all VMs together stay within the
-    rule without communicating. A process may have replaced one that had
-    spent its share of the slack, so in its first window it has only the
-    fraction that the previous process could not spend.
+    rule. What it needs beyond that it borrows from the VMs that hold a
+    share; what it lends counts as spent. A process may have replaced one
+    that had spent its share of the slack, so in its first window it has only
+    the fraction that the previous process could not spend.
     """
 
     # The rest allows for requests that the service counts in a different
@@ -52,10 +83,10 @@
         """Apply a rule to a process that started at `started_at`."""
         self._rule = rule
         self._initial_until = started_at + rule.window
-        self._shares = LimitShares()
+        self._shares: BudgetShares = NoShares()
         self._usage_by_service: dict[ServiceId, _Usage] = {}
 
-    def set_shares(self, shares: LimitShares) -> None:
+    def set_shares(self, shares: BudgetShares) -> None:
         """Set the shares by which VMs divide the slack."""
         self._shares = shares
 
@@ -79,7 +110,24 @@
     def spend(
         self, service: ServiceId, now: Instant, reserve: float = 0
     ) -> bool:
-        """Use one extra send; return False if under 1 + reserve are left."""
+        """Use one extra send; return False if under 1 + reserve are left.
+
+        Borrowed ones are used last, as the lender counts them anyway.
+        """
+        if self.spend_own(service, now, reserve):
+            return True
+        usage = self._usage_by_service[service]
+        while usage.borrowed and usage.borrowed[0] <= now:
+            usage.borrowed.popleft()
+        if not usage.borrowed:
+            return False
+        usage.borrowed.popleft()
+        return True
+
+    def spend_own(
+        self, service: ServiceId, now: Instant, reserve: float = 0
+    ) -> bool:
+        """Use one extra send of this VM's share, for itself or to lend it."""
         if self.available(service, now) < 1 + reserve:
             return False
         usage = self._usage_by_service[service]
@@ -87,6 +135,23 @@
         usage.extras += 1
         return True
 
+    def may_borrow(self, service: ServiceId, now: Instant) -> bool:
+        """Return whether other VMs may have an extra send left."""
+        return (
+            self._shares.has_lenders(service)
+            and now >= self._current_usage(service, now).denied_until
+        )
+
+    def add_borrowed(self, service: ServiceId, now: Instant) -> None:
+        """Add one extra send that another VM has lent."""
+        usage = self._current_usage(service, now)
+        usage.borrowed.append(now + _BORROWED_VALIDITY)
+
+    def record_denied(self, service: ServiceId, now: Instant) -> None:
+        """Record that no other VM lends an extra send."""
+        usage = self._current_usage(service, now)
+        usage.denied_until = now + _DENIAL_TIME
+
     def _current_usage(self, service: ServiceId, now: Instant) -> _Usage:
         usage = self._usage_by_service.get(service)
         if usage is None:
--- a/tests/router_builders.py
+++ b/tests/router_builders.py
@@ -13,7 +13,11 @@
     UpstreamReply,
 )
 from sesametrack.routing.pacing import UpstreamPacer
-from sesametrack.routing.retry_budget import BudgetRule, RetryBudget
+from sesametrack.routing.retry_budget import (
+    BudgetRule,
+    BudgetShares,
+    RetryBudget,
+)
 from sesametrack.routing.selection import Selector
 from sesametrack.routing.timing import TimingTable
 
@@ -21,6 +25,22 @@
 AMPLE_BUDGET = BudgetRule(10, 10, 1000)
 
 
+class EqualShares(BudgetShares):
+    """Gives each of some VMs the same share, and lets none borrow."""
+
+    def __init__(self, vm_count: int = 1) -> None:
+        """Set the number of VMs."""
+        self._vm_count = vm_count
+
+    def fraction(self, service: str) -> float:
+        """Return the share of one VM."""
+        return 1 / self._vm_count
+
+    def has_lenders(self, service: str) -> bool:
+        """Return False."""
+        return False
+
+
 def make_record(upstream_id: str, service: str, **fields) -> UpstreamRecord:
     """Make the record of a ready upstream."""
     named = {
@@ -59,10 +79,12 @@
 ) -> CallContext:
     """Make the collaborators that calls share."""
     pacer = UpstreamPacer()
+    budget = RetryBudget(rule, -100)
+    budget.set_shares(EqualShares())
     return CallContext(
         directory,
         Selector('north', pacer, Random(seed)),
-        RetryBudget(rule, -100),
+        budget,
         pacer,
         TimingTable(),
         partial(next, count(1)),
--- a/tests/test_exchange_driver.py
+++ b/tests/test_exchange_driver.py
@@ -8,7 +8,11 @@
 
 from sesametrack.contracts.subgathers import AttemptGrant
 from sesametrack.programs.active_requests import ActiveRequest
-from sesametrack.programs.exchange_driver import ExchangeDriver, Readiness
+from sesametrack.programs.exchange_driver import (
+    ExchangeDriver,
+    PeerCalls,
+    Readiness,
+)
 from sesametrack.routing.aggregators import AGGREGATOR_SERVICE
 from sesametrack.routing.directory import Upstream, UpstreamDirectory
 from sesametrack.routing.events import (
@@ -67,8 +71,11 @@
         TimingTable(),
         Readiness(),
         lambda service: 1,
-        lambda peer_id, grant: grants.append(grant),
-        lambda request, callback: None,
+        PeerCalls(
+            lambda peer_id, grant: grants.append(grant),
+            lambda request, callback: None,
+            lambda service: None,
+        ),
         Metrics(None, ''),
         get_running_loop(),
         monotonic,
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 
 from sesametrack.routing.retry_budget import BudgetRule, RetryBudget
-from sesametrack.routing.shares import LimitShares
+from tests.router_builders import EqualShares
 
 _RULE = BudgetRule(0.2, 10, 6)
 _VMS = 3
@@ -43,7 +43,7 @@
     def make(self, started_at: float) -> RetryBudget:
         """Make the budget of one process."""
         budget = RetryBudget(_RULE, started_at)
-        budget.set_shares(LimitShares(_VMS))
+        budget.set_shares(EqualShares(_VMS))
         return budget
 
     def check(
@@ -62,10 +62,14 @@
     def test_slack_after_restart(self) -> None:
         """A process and its replacement share one slack."""
         before, after = RetryBudget(_RULE, 0), RetryBudget(_RULE, 50)
+        before.set_shares(EqualShares())
+        after.set_shares(EqualShares())
         spent = sum(before.spend('s', 49) for _ in range(20))
         spent += sum(after.spend('s', 51) for _ in range(20))
         self.assertLessEqual(spent, _RULE.slack)
-        self.assertTrue(RetryBudget(_RULE, 50).spend('s', 51))
+        fresh = RetryBudget(_RULE, 50)
+        fresh.set_shares(EqualShares())
+        self.assertTrue(fresh.spend('s', 51))
 
     def test_reserve_is_kept(self) -> None:
         """A send with a reserve is refused before the budget is used up."""
