Keep the first watches after a lost one short

Cause: a watch of a quiet kind waits for 17 s. A store that has discarded its history or was unavailable may not wake one that was opened at that moment. A relay that lists just before a change then misses it, and with it all its followers. Change: for 4 s after a listing that follows a lost watch, watches of quiet kinds end after a second. Measured: tests/test_relay.py, MissedWakeUpTest: a change while the stand-in wakes no watch is in force within 3 s (red before: 17 s). Conclusion: up to eight more calls of a relay after each loss.

--- a/src/sesametrack/platform/object_watcher.py
+++ b/src/sesametrack/platform/object_watcher.py
@@ -42,6 +42,11 @@
 # The store keeps 20 s of history. A watch of a quiet kind has to end before the
 # writes after its start are discarded, or it would end with 410.
 _DEFAULT_WAIT: Seconds = 17
+# A store that has just discarded its history or was unavailable may not wake a
+# watch that was opened at the same moment. So the first ones after such a
+# listing end soon.
+_SETTLING_WAIT: Seconds = 1
+_SETTLING_TIME: Seconds = 4
 # Followers must detect within the drain time that their relay is unreachable or
 # cut off from the store: a watch with its margin and a listing from the next
 # relay fit into it. A relay that detects the loss of the store ends their
@@ -130,6 +135,8 @@
         self._is_store_usable = AsyncEvent()
         self._is_store_usable.set()
         self._revision_by_kind: dict[str, int] = {}
+        # Until when the watches of a kind end soon.
+        self._settling_until: dict[str, Instant] = {}
         self._era_by_kind: dict[str, int | None] = {}
         self._latest_era = 0
         # Kinds whose watch this VM itself has ended.
@@ -245,6 +252,8 @@
         on_change: Callable[[StoreObject, bool], None],
     ) -> None:
         connection = self._connection_by_kind[kind]
+        if kind in self._revision_by_kind:
+            self._settling_until[kind] = self._now() + _SETTLING_TIME
         source = self._sources.current(self._now())
         connection.set_address(source, is_relay=source != self._sources.store)
         self._ended_kinds.discard(kind)
@@ -377,6 +386,8 @@
             return _FOLLOWER_WAIT
         if kind == _UPSTREAMS and self._is_relaying:
             return _RELAYED_UPSTREAM_WAIT
+        if self._now() < self._settling_until.get(kind, float('-inf')):
+            return min(wait, _SETTLING_WAIT)
         return wait
 
     def _record_store_reply(self, kind: str) -> None:
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -29,7 +29,9 @@
 
     `refusal` is the HTTP status of every response while it is set, `delay_s`
     the delay of each response, and `lost_writes` the number of next writes
-    that are applied but get no response. `era` is in the header of every
+    that are applied but get no response. While the store `is_mute`, changes
+    wake no watch; each gets them when its wait ends. `era` is in the header of
+    every
     response, and rises with each restore from a copy.
     """
 
@@ -38,6 +40,7 @@
         self.refusal: int | None = None
         self.delay_s: float = 0
         self.lost_writes = 0
+        self.is_mute = False
         self.calls = 0
         self.longest_wait_s: float = 0
         self.revision = 1
@@ -208,13 +211,16 @@
                     after < self._compacted_revision
                     or self._compacted_revision != compacted_revision
                     or self.refusal is not None
-                    or any(
-                        revision > after and changed_kind == kind
-                        for revision, changed_kind, _, _ in self._history
-                    )
+                    or (not self.is_mute and self._has_changes(kind, after))
                 )
             )
 
+    def _has_changes(self, kind: str, after: int) -> bool:
+        return any(
+            revision > after and changed_kind == kind
+            for revision, changed_kind, _, _ in self._history
+        )
+
     def _changes(self, kind: str, after: int) -> HttpResponse:
         events = [
             {'object': found, 'deleted': is_deleted}
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -44,6 +44,8 @@
 _CALL_MARGIN_S = 2
 _MAX_POLLS = 150
 _POLL_INTERVAL_S = 0.02
+# By this time after a discarded history all watches are open again.
+_REOPENED_S = 0.5
 # Longest time for which a relay may delay its refusal.
 _MAX_HOLD_S = 0.7
 
@@ -394,6 +396,41 @@
             await relay.close()
 
 
+class MissedWakeUpTest(TestCase):
+    """A watch that the store does not wake is not waited for for long."""
+
+    def test_after_discarded_history(self) -> None:
+        """The store ends all watches, and wakes no new one for a while.
+
+        Guards against a VM that lists just before a change, and then waits 17
+        s for news of it at a store that has just discarded its history.
+        """
+        run(self.check())
+
+    async def check(self) -> None:
+        """Change all kinds after the watches have been opened again."""
+        store = ObjectStoreStandin(_HOST, _STORE_PORT)
+        await store.start()
+        fleet = make_fleet(1)
+        vm = Vm(fleet[0], fleet)
+        fleet_test = RelayTest('test_fleet')
+        try:
+            await fleet_test.write_objects(store, 1)
+            await vm.start()
+            await fleet_test.wait_for_version([vm], 1)
+            store.is_mute = True
+            store.refusal = 503
+            await store.compact()
+            await sleep(_POLL_INTERVAL_S * 10)
+            store.refusal = None
+            await sleep(_REOPENED_S)
+            await fleet_test.write_objects(store, 2)
+            await fleet_test.wait_for_version([vm], 2)
+        finally:
+            await vm.close()
+            await store.close()
+
+
 class RelayEraTest(TestCase):
     """A relay that has listed a store that came back from an older copy."""
 
