Don't write a request after the end of the permit for it

Cause: a send to a limited or cold upstream took its permit when it was passed to the pool, and could be written later, once a connection was open. A process that was paused meanwhile wrote it seconds after the permit's end, beside the requests of later permits. Leases, grants of attempts and stored permits were checked when they are used; this was the one that was not. Change: a send tells the end of its permit; the pool reports a request that was not written by then as not sent.

--- a/src/sesametrack/links/upstream_pool.py
+++ b/src/sesametrack/links/upstream_pool.py
@@ -37,8 +37,9 @@
     build_request: Callable[[], OutgoingRequest]
     read_reply: ReplyReader
     is_repeatable: bool
-    # The request is not written after this instant.
-    deadline: Instant
+    # The request is not written after this instant, its deadline or the end
+    # of the permit for it.
+    write_by: Instant
     # Attempts of the same request use different connections: a late copy of
     # one's reply could not be told from the other's.
     request_id: str = ''
@@ -197,10 +198,10 @@
             )
 
     def _fail_expired(self) -> None:
-        """Fail the queued requests whose deadlines have passed."""
+        """Fail the queued requests that must not be written any more."""
         now = self._now()
         expired = [
-            pending for pending in self._waiting if pending.deadline <= now
+            pending for pending in self._waiting if pending.write_by <= now
         ]
         for pending in expired:
             if self.cancel_waiting(pending.attempt_id):
--- a/src/sesametrack/programs/pending_sends.py
+++ b/src/sesametrack/programs/pending_sends.py
@@ -41,7 +41,7 @@
             ),
             decode_subgather_reply,
             is_repeatable=True,
-            deadline=send.deadline,
+            write_by=send.deadline,
         )
     return PendingSend(
         send.attempt_id,
@@ -54,6 +54,6 @@
         ),
         partial(parse_upstream_reply, request.id.encode('latin-1')),
         active_request.route.is_repeatable,
-        send.deadline,
+        min(send.deadline, send.write_by),
         request.id,
     )
--- a/src/sesametrack/routing/calls.py
+++ b/src/sesametrack/routing/calls.py
@@ -312,7 +312,7 @@
         attempt = Attempt(self.context.next_attempt_id(), upstream, now)
         self.attempts.append(attempt)
         upstream.health.start_attempt(attempt.id, now)
-        self.context.pacer.record_send(upstream, now)
+        write_by = self.context.pacer.record_send(upstream, now)
         self._borrowing_since = None
         self.wake_at = _NEVER
         if self.route.is_repeatable and reason != 'hedge':
@@ -321,7 +321,14 @@
         is_early = now < self.early_send_deadline
         deadline = self.early_send_deadline if is_early else self.deadline
         return [
-            Send(attempt.id, upstream, deadline, self.service, reason),
+            Send(
+                attempt.id,
+                upstream,
+                deadline,
+                self.service,
+                reason,
+                write_by=write_by,
+            ),
             *self._request_permits(now, has_alternative=True),
         ]
 
--- a/src/sesametrack/routing/events.py
+++ b/src/sesametrack/routing/events.py
@@ -113,7 +113,8 @@
 class Send:
     """Send the request to an upstream, which must reply by `deadline`.
 
-    With a `subgather` the upstream is an aggregator.
+    With a `subgather` the upstream is an aggregator. After `write_by`, the end
+    of the permit for it, the request must not be written any more.
     """
 
     attempt_id: int
@@ -122,6 +123,7 @@
     service: ServiceId
     reason: str
     subgather: Subgather | None = None
+    write_by: Instant = float('inf')
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sesametrack/routing/pacing.py
+++ b/src/sesametrack/routing/pacing.py
@@ -79,10 +79,14 @@
             state.permits.popleft()
         return bool(state.permits) and state.permits[0].starts_at <= now
 
-    def record_send(self, upstream: Upstream, now: Instant) -> None:
-        """Use a permit if the upstream has a limit."""
-        if self.limit(upstream, now) is not None and self.allows(upstream, now):
-            self._state_by_id[upstream.id].permits.popleft()
+    def record_send(self, upstream: Upstream, now: Instant) -> Instant:
+        """Use a permit if the upstream has a limit.
+
+        Return the end of the permit, by which the request must be written.
+        """
+        if self.limit(upstream, now) is None or not self.allows(upstream, now):
+            return float('inf')
+        return self._state_by_id[upstream.id].permits.popleft().ends_at
 
     def record_passed_over(self, upstream: Upstream) -> None:
         """Record that a request could not use an upstream for its limit."""
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -129,7 +129,7 @@
         lambda: request,
         partial(parse_upstream_reply, b'mine'),
         is_repeatable=False,
-        deadline=monotonic() + 1,
+        write_by=monotonic() + 1,
         request_id='mine',
     )
 
--- a/tests/test_queued_sends.py
+++ b/tests/test_queued_sends.py
@@ -46,7 +46,7 @@
         lambda: request,
         lambda status, headers, body: reply,
         is_repeatable=True,
-        deadline=monotonic() + wait_s,
+        write_by=monotonic() + wait_s,
     )
 
 
