Retry at full upstreams after growing delays

Cause: a request that the only upstream of a service rejects came back each 8 ms, and every arrival costs one extra send. Change: the delay doubles with each rejection, up to 128 ms.

--- a/src/sesametrack/routing/calls.py
+++ b/src/sesametrack/routing/calls.py
@@ -27,8 +27,11 @@
 _PERMIT_POLL_INTERVAL: Seconds = 0.004
 # How long permits are waited for that only a hedge, or a later request, uses.
 _SPARE_PERMIT_WAIT: Seconds = 0.05
-# Delay before the same upstreams are tried again.
+# Delay before the same upstreams are tried again. It doubles with each of them,
+# up to a maximum: upstreams that reject a request are full for a while, and
+# each further arrival costs a part of the retry budget.
 _RETRY_DELAY: Seconds = 0.008
+_MAX_RETRY_DELAY: Seconds = 0.128
 # How long a request without any attempt left waits for further ones.
 _GRANT_TIMEOUT: Seconds = 0.01
 # Interval at which a call looks for the extra send that it has asked for, and
@@ -273,7 +276,7 @@
         pacer = self.context.pacer
         if reachable and not any(pacer.allows(one, now) for one in reachable):
             return self._wait_for_permit(reachable, now)
-        self.wake_at = now + _RETRY_DELAY
+        self.wake_at = now + self._retry_delay
         self.reason = self.reason or 'no-room'
         return []
 
@@ -367,7 +370,16 @@
 
     def _is_retry_delayed(self, now: Instant) -> bool:
         last_sent_at = max(attempt.sent_at for attempt in self.attempts)
-        return now < last_sent_at + _RETRY_DELAY
+        return now < last_sent_at + self._retry_delay
+
+    @property
+    def _retry_delay(self) -> Seconds:
+        rejections = sum(
+            1
+            for attempt in self.attempts
+            if attempt.may_have_been_sent and not attempt.may_have_run
+        )
+        return min(_MAX_RETRY_DELAY, _RETRY_DELAY * 2 ** max(0, rejections - 1))
 
     def _allowed_upstreams(self, usable: list[Upstream]) -> list[Upstream]:
         """Return the upstreams that the limit on attempts leaves."""
