Count only calls to the store as such

Cause: the metric store_calls also counted calls to relays, so that it said nothing about the load of the store. Change: a connection to a relay does not count. Measured: test_relay compares it with what the stand-in has seen. Conclusion: needed to follow calls of a fleet from its metrics.

--- a/src/sesametrack/platform/object_watcher.py
+++ b/src/sesametrack/platform/object_watcher.py
@@ -145,7 +145,7 @@
 
     @property
     def calls(self) -> int:
-        """Number of calls made to the store and to relays."""
+        """Number of calls made to the store itself."""
         open_calls = sum(one.calls for one in self._connection_by_kind.values())
         return self._closed_calls + open_calls
 
--- a/src/sesametrack/platform/store.py
+++ b/src/sesametrack/platform/store.py
@@ -99,7 +99,8 @@
         """Set the address; the first call opens the connection."""
         self._address = address
         self._http: HttpConnection | None = None
-        self._read_headers: dict[str, str] = {}
+        self._is_relay = False
+        # Number of calls to the store; those to relays cost it nothing.
         self.calls = 0
         # Of the last reply; None if it had none.
         self.era: int | None = None
@@ -112,10 +113,7 @@
 
     def set_address(self, address: Address, *, is_relay: bool) -> None:
         """Send further calls to the store, or to a relay, at this address."""
-        # Relays compress their replies; the store has no such option.
-        self._read_headers = (
-            {'accept-encoding': RELAY_CODING} if is_relay else {}
-        )
+        self._is_relay = is_relay
         if address != self._address:
             self.close()
             self._address = address
@@ -201,9 +199,11 @@
         path = f'{_PATH}/{kind}'
         if query:
             path = f'{path}?{urlencode(query)}'
+        # Relays compress their replies; the store has no such option.
+        headers = {'accept-encoding': RELAY_CODING} if self._is_relay else {}
         try:
             reply = await self._exchange(
-                HttpRequest('GET', path, self._read_headers), timeout
+                HttpRequest('GET', path, headers), timeout
             )
         except PlatformLostReplyError as error:
             raise PlatformUnavailableError(str(error)) from error
@@ -230,7 +230,8 @@
     async def _exchange(
         self, request: HttpRequest, timeout: Seconds = _CALL_TIMEOUT
     ) -> HttpResponse:
-        self.calls += 1
+        if not self._is_relay:
+            self.calls += 1
         if self._http is None or not self._http.is_reusable:
             await self._connect()
         try:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -158,7 +158,7 @@
             for vm in sorted(vms, key=lambda one: not one.is_watcher):
                 await vm.start()
             await self.check_changes(store, vms)
-            await self.check_calls(store)
+            await self.check_calls(store, vms)
             self.check_waits(store)
             await self.check_refused_watchers(store, vms)
             await self.check_stopped_watcher(store, vms)
@@ -214,11 +214,17 @@
             await sleep(_POLL_INTERVAL_S)
         raise AssertionError('the removal has not reached all VMs')
 
-    async def check_calls(self, store: ObjectStoreStandin) -> None:
+    async def check_calls(
+        self, store: ObjectStoreStandin, vms: list[Vm]
+    ) -> None:
         """Only watchers call the store."""
         before = store.calls
         await sleep(1)
         self.assertLessEqual(store.calls - before, WATCHERS_PER_DOMAIN * 2)
+        # The metric counts what the store has seen.
+        self.assertEqual(
+            store.calls, sum(vm.object_watcher.calls for vm in vms)
+        )
 
     def check_waits(self, store: ObjectStoreStandin) -> None:
         """Watches end before the store discards the history after them.
