Answer gathers by the measured distance of their callers

Cause: a gather that lacks its last shards answers at a cut-off, which left 8 ms for the ways to and from the caller: enough for callers 1 ms away. Change: the cut-off leaves what the kernel's round-trip time of the caller's connection says, twice that for the first request of a connection, and 4 ms for reading, merging and writing. Without a measurement it is as before.

--- a/src/sesametrack/links/caller_server.py
+++ b/src/sesametrack/links/caller_server.py
@@ -30,7 +30,10 @@
 )
 
 from sesametrack.contracts.types import Instant, Seconds
-from sesametrack.links.socket_options import enable_dead_peer_detection
+from sesametrack.links.socket_options import (
+    enable_dead_peer_detection,
+    read_round_trip_time,
+)
 from sesametrack.routing.desired_state import ClientLimits
 from sesametrack.routing.events import Headers
 
@@ -57,6 +60,10 @@
     headers: Headers
     body: bytes
     arrived_at: Instant
+    # What the network adds to the time that the caller waits: the ways of the
+    # request and the answer, and the opening of the connection for its first
+    # request. None if it is unknown.
+    network_time: Seconds | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +88,7 @@
         self._last_activity_at: Instant = server.now()
         self._arrived_at: Instant | None = None
         self._is_lingering = False
+        self._has_requested = False
         self.is_busy = False
 
     def connection_made(self, transport: Transport) -> None:
@@ -244,9 +252,17 @@
                 list(head.headers),
                 body,
                 self._arrived_at,
+                self._measure_network_time(),
             ),
         )
 
+    def _measure_network_time(self) -> Seconds | None:
+        is_first, self._has_requested = not self._has_requested, True
+        round_trip_time = read_round_trip_time(self._transport)
+        if round_trip_time is None:
+            return None
+        return 2 * round_trip_time if is_first else round_trip_time
+
     def _reject(self, status: int) -> None:
         self._is_lingering = True
         self._head = None
--- a/src/sesametrack/platform/headers.py
+++ b/src/sesametrack/platform/headers.py
@@ -92,6 +92,7 @@
         incoming.body,
         incoming.arrived_at,
         _parse_remaining_time(by_name.get(_REMAINING_TIME)),
+        incoming.network_time,
     )
 
 
--- a/src/sesametrack/routing/events.py
+++ b/src/sesametrack/routing/events.py
@@ -42,7 +42,8 @@
 
     `id` identifies one attempt of the client. `caller_timeout` is how long
     the caller waits from `arrived_at` on, None if it is unknown. `headers`
-    are those to forward.
+    are those to forward. `network_time` is what the network adds to the time
+    from `arrived_at` to the answer, None if it is unknown.
     """
 
     id: str
@@ -53,6 +54,7 @@
     body: bytes
     arrived_at: Instant
     caller_timeout: Seconds | None
+    network_time: Seconds | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sesametrack/routing/exchanges.py
+++ b/src/sesametrack/routing/exchanges.py
@@ -31,11 +31,11 @@
 
 # Reserved before the caller's deadline to write the answer.
 ANSWER_RESERVE: Seconds = 0.008
-# Reserved for the answer's way to the caller when a gather answers without
-# its last shards: two round trips to a caller a few milliseconds away, and a
-# fraction of the target for the time the request was queued before this VM
-# read it.
-_RETURN_TIME: Seconds = 0.008
+# Reserved when a gather answers without its last shards: what the network adds
+# to the caller's wait, the time to read the request and to write the answer,
+# and a fraction of the target for the time that a busy VM takes longer.
+_DEFAULT_NETWORK_TIME: Seconds = 0.004
+_HANDLING_TIME: Seconds = 0.004
 _RETURN_FRACTION = 0.06
 # Multiple of the target at which sends made before it expire. It lies after
 # the cut-off so that a gather that has too few shards by then can still use
@@ -226,8 +226,12 @@
 def gather_deadlines(request: CallerRequest, route: Route) -> GatherDeadlines:
     """Return the deadlines of a gather whose caller is connected to this VM."""
     deadline = exchange_deadline(request, route)
+    network_time = request.network_time
+    if network_time is None:
+        network_time = _DEFAULT_NETWORK_TIME
     time_to_cutoff = max(
-        route.target / 2, route.target * (1 - _RETURN_FRACTION) - _RETURN_TIME
+        route.target / 2,
+        route.target * (1 - _RETURN_FRACTION) - _HANDLING_TIME - network_time,
     )
     return GatherDeadlines(
         min(deadline - ANSWER_RESERVE, request.arrived_at + time_to_cutoff),
--- a/tests/router_builders.py
+++ b/tests/router_builders.py
@@ -121,10 +121,22 @@
     )
 
 
-def make_request(arrived_at: float = 0, caller_timeout: float | None = None):
+def make_request(
+    arrived_at: float = 0,
+    caller_timeout: float | None = None,
+    network_time: float | None = None,
+):
     """Make a caller's request."""
     return CallerRequest(
-        'r1', 'GET', '/g/x', 'h', [], b'', arrived_at, caller_timeout
+        'r1',
+        'GET',
+        '/g/x',
+        'h',
+        [],
+        b'',
+        arrived_at,
+        caller_timeout,
+        network_time,
     )
 
 
