Let slow VMs leave work and new callers to others

Cause: where some VMs run several times slower for a while (node_slow), nearly every gather has one of them among its twelve aggregators: with an eighth to a sixth of the VMs slow, 0.85^12 = 14% have none. The group of a slow one comes late, and with 0.95 of the shards needed the whole answer with it. Others can't tell: each VM sees a given aggregator once in eight seconds. Change: a VM measures the time that its own work takes for a send (no waiting is part of it) against its usual one. If two of its last three samples exceed 2.5 times that, it refuses sub-gathers, but for one in 0.7 s, and is not ready for new callers until it is fast again. Conclusion: what a refused group costs is one exchange within the domain.

--- a/src/sesametrack/programs/exchange_driver.py
+++ b/src/sesametrack/programs/exchange_driver.py
@@ -37,6 +37,7 @@
     Send,
     UpstreamReply,
 )
+from sesametrack.routing.pace import WorkPace
 from sesametrack.routing.timing import TimingTable
 from sesametrack.routing.wide_gather import WideGatherExchange
 from sesametrack.telemetry.metrics import Metrics
@@ -87,6 +88,8 @@
     stops_at: Instant | None = None
     # Set while upstreams out of this VM's reach may be reachable from others.
     is_isolated: bool = False
+    # Set while this VM takes several times as long as usual for its own work.
+    is_slow: bool = False
 
     @property
     def is_stopping(self) -> bool:
@@ -121,6 +124,7 @@
         self._active_by_grant: dict[int, ActiveRequest] = {}
         self.pools = UpstreamPools(self, connection_limit, metrics, loop, now)
         self.limit_reports = LimitReports(metrics)
+        self.pace = WorkPace()
         self._directory = directory
         self._timings = timings
         self._readiness = readiness
@@ -157,6 +161,8 @@
         self._execute_actions(
             active_request, active_request.exchange.start(now), now
         )
+        started_at = self._now()
+        self.pace.record(started_at - now, active_request.sends, started_at)
 
     def answer_all(self) -> None:
         """Answer all active requests with what there is."""
--- a/src/sesametrack/programs/forwarder.py
+++ b/src/sesametrack/programs/forwarder.py
@@ -172,6 +172,11 @@
         """Number of connections opened to listed upstreams."""
         return self._pools.opened_connections
 
+    @property
+    def is_slow(self) -> bool:
+        """Return whether this VM's own work takes far longer than usual."""
+        return self._driver.pace.is_slow(self._now())
+
     def unreachable_routes(self) -> list[str]:
         """Return the routes whose listed upstreams are unreachable."""
         if self.routes.state is None:
@@ -345,12 +350,18 @@
                 encode_subgather_refusal(str(error)), is_last=True
             )
             return
-        if self.readiness.is_stopping or not self.directory.has_listing:
+        is_slow = not self._driver.pace.may_take_work(self._now())
+        if (
+            self.readiness.is_stopping
+            or is_slow
+            or not self.directory.has_listing
+        ):
             log_event(
                 _log,
                 'subgather-refused',
                 request_id=subgather.request.id,
                 is_stopping=self.readiness.is_stopping,
+                is_slow=is_slow,
             )
             connection.respond(
                 encode_subgather_refusal('not-ready'),
--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -469,8 +469,10 @@
     @property
     def is_ready(self) -> bool:
         """Return whether the load balancer may send callers to this VM."""
+        readiness = self._forwarder.readiness
         return (
-            not self._forwarder.is_draining_callers
+            not readiness.is_draining_callers
+            and not readiness.is_slow
             and self._forwarder.routes.state is not None
             and self._forwarder.directory.has_listing
         )
@@ -486,6 +488,7 @@
         now = steady_time()
         self._forwarder.expire_upstreams()
         self._apply_evacuations()
+        self._check_pace()
         unreachable = self._forwarder.unreachable_routes()
         in_use = self._forwarder.recently_used_routes()
         self._unservable_in_use = [
@@ -520,6 +523,14 @@
             _REACHABILITY_INTERVAL, self._check_reachability
         )
 
+    def _check_pace(self) -> None:
+        """Leave new callers to other VMs while this one is slow."""
+        readiness = self._forwarder.readiness
+        is_slow = self._forwarder.is_slow
+        if is_slow is not readiness.is_slow:
+            readiness.is_slow = is_slow
+            log_event(_log, 'slow' if is_slow else 'fast-again')
+
     async def _handle_readiness(self, request: HttpRequest) -> HttpResponse:
         return HttpResponse(_OK if self.is_ready else _UNAVAILABLE)
 
