Show that a request that crashes its searchers is sent for as long as it comes

What callers see: a request that ends each searcher that runs it is handed on at every arrival; its service loses all searchers, again and again, and ordinary requests beside it get 503.

Change: no logic.

--- a/standins/searcher.py
+++ b/standins/searcher.py
@@ -4,11 +4,14 @@
     Server,
     StreamReader,
     StreamWriter,
+    Task,
+    create_task,
+    get_running_loop,
     sleep,
     start_server,
 )
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from xxhash import xxh3_64_hexdigest
@@ -25,6 +28,7 @@
     path: str
     headers: dict[str, str]
     body: bytes
+    received_at: float = 0
 
 
 @dataclass(slots=True)
@@ -45,6 +49,10 @@
     limit_per_s: float | None = None
     # Number of faulty replies before the searcher recovers; None for no limit.
     faults_left: int | None = None
+    # A request whose path has this text ends the searcher that runs it; empty
+    # for none. The searcher starts again after `restart_s`.
+    crash_marker: str = ''
+    restart_s: float = 2
 
 
 @dataclass(slots=True)
@@ -61,8 +69,14 @@
     seen: list[SeenRequest] = field(default_factory=list)
     ran: list[str] = field(default_factory=list)
     connections: int = 0
+    started_ms: int = 1_700_000_000_000
+    # Times of the event loop at which the searcher ended.
+    crashed_at: list[float] = field(default_factory=list)
+    # Called after a restart, for example to write the new entry.
+    on_restart: Callable[['SearcherStandin'], Awaitable] | None = None
     _server: Server | None = None
     _writers: set[StreamWriter] = field(default_factory=set)
+    _restart_task: Task | None = None
 
     @property
     def entry(self) -> dict[str, object]:
@@ -76,7 +90,7 @@
             'state': 'ready',
             'cold_left_ms': 0,
             'sequence': 1,
-            'born': 1_700_000_000_000,
+            'born': self.started_ms,
         }
 
     async def start(self) -> None:
@@ -85,6 +99,26 @@
 
     async def close(self) -> None:
         """Stop listening and reset all connections."""
+        if self._restart_task is not None:
+            self._restart_task.cancel()
+        self._stop_serving()
+
+    def crash(self) -> None:
+        """End like a killed process, and start again later."""
+        if self._restart_task is not None and not self._restart_task.done():
+            return
+        self.crashed_at.append(get_running_loop().time())
+        self._stop_serving()
+        self._restart_task = create_task(self._restart())
+
+    async def _restart(self) -> None:
+        await sleep(self.plan.restart_s)
+        self.started_ms += 1000
+        await self.start()
+        if self.on_restart is not None:
+            await self.on_restart(self)
+
+    def _stop_serving(self) -> None:
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
@@ -116,7 +150,9 @@
     async def _serve_one(
         self, reader: StreamReader, writer: StreamWriter
     ) -> bool:
-        request = await _read_request(reader)
+        request = replace(
+            await _read_request(reader), received_at=get_running_loop().time()
+        )
         self.seen.append(request)
         echo = {'Request-Id': request.request_id}
         if request.headers.get('expect-instance') not in {None, self.id}:
@@ -130,6 +166,9 @@
         self.ran.append(request.request_id)
         if self.plan.delay_s:
             await sleep(self.plan.delay_s)
+        if self.plan.crash_marker and self.plan.crash_marker in request.path:
+            self.crash()
+            return False
         return self._answer(request, fault, writer)
 
     def _next_fault(self) -> str:
