Stop requests under which upstreams end, over all VMs

What callers saw: a request that crashes each upstream that runs it was handed on at every arrival; its service lost all searchers for as long as it came, and ordinary requests beside it got 503.

Change: a fingerprint of what is asked; an end counts only if the upstream closes the connection and then refuses the next one; VMs exchange ends with their hints and add them up (routing/crash_ledger.py); a suspect runs only as a trial with a permit of the coordinator (routing/canaries.py), which issues one in 4 s; three ends in a row without a success quarantine. A gather whose first upstreams all end retries one shard, not all. Logs, metrics and lifted_requests; the soak repeats such requests.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -21,6 +21,7 @@
 from asyncio.subprocess import Process
 from collections import Counter
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from random import Random
 from shutil import rmtree
@@ -51,6 +52,13 @@
 _FAULT_DURATION_S = 1.2
 _RECOVERY_S = 4.0
 _MIN_SUCCESS_SHARE = 0.9
+# A request that ends searchers: how often and at what intervals it comes, and
+# how often it may reach searchers once it has ended three and that is known.
+_CRASH_MARKER = 'killer'
+_CRASH_REPEATS = 12
+_CRASH_INTERVAL_S = 0.6
+_CRASH_SETTLED_S = 4
+_MAX_CRASH_SENDS = 3
 
 _SOAK_HOST = flags.DEFINE_string(
     'host', '127.1.5.1', 'loopback address of all listening sockets'
@@ -133,6 +141,7 @@
         ]
         self._version = 1
         self._request_count = 0
+        self._crash_count = 0
         self._is_finished = False
         self._non_idempotent_requests: list[tuple[str, int]] = []
         self._statuses_after_recovery: Counter = Counter()
@@ -182,6 +191,10 @@
     async def _start(self) -> None:
         await self._store.start()
         for searcher, proxy in zip(self._searchers, self._proxies, strict=True):
+            searcher.plan.crash_marker = _CRASH_MARKER
+            searcher.plan.restart_s = _FAULT_DURATION_S
+            searcher.on_crash = partial(self._close_proxy, proxy)
+            searcher.on_restart = partial(self._reopen_proxy, proxy)
             await searcher.start()
             await proxy.start()
             await self._register(searcher, proxy)
@@ -196,6 +209,17 @@
         entry = {**searcher.entry, 'address': f'{self._host}:{proxy.port}'}
         await self._store.put('servers', searcher.id, entry)
 
+    async def _close_proxy(
+        self, proxy: FaultProxy, searcher: SearcherStandin
+    ) -> None:
+        await proxy.close()
+
+    async def _reopen_proxy(
+        self, proxy: FaultProxy, searcher: SearcherStandin
+    ) -> None:
+        await proxy.start()
+        await self._register(searcher, proxy)
+
     async def _write_configuration(self) -> None:
         common = {
             'host': 'desk.example',
@@ -250,6 +274,7 @@
             self._change_state,
             self._drain_searcher,
             self._limit_searcher,
+            self._repeat_crashing_request,
         )
         tasks = []
         while monotonic() < ends_at:
@@ -359,6 +384,28 @@
         await sleep(self._rng.uniform(0, 2 * _FAULT_DURATION_S))
         plan.limit_per_s = None
 
+    async def _repeat_crashing_request(self) -> None:
+        """Send one request that ends searchers to routers, again and again."""
+        self._crash_count += 1
+        path = f'/all/{_CRASH_MARKER}-{self._crash_count}'
+        for number in range(_CRASH_REPEATS):
+            router = self._rng.choice(self._routers)
+            request_id = f'c{self._crash_count}-{number}'
+            try:
+                stream = await wait_for(
+                    open_connection(self._host, router.port), 1
+                )
+                await wait_for(
+                    _exchange(
+                        stream, request_id, is_non_idempotent=False, path=path
+                    ),
+                    _TIMEOUT_MS / 1000 + 1,
+                )
+                stream[1].transport.abort()
+            except (OSError, EOFError, TimeoutError):
+                self.findings.counts['crashing-unanswered'] += 1
+            await sleep(_CRASH_INTERVAL_S)
+
     async def _recover(self) -> None:
         for proxy in self._proxies:
             proxy.heal()
@@ -461,6 +508,7 @@
                 not (status in {429, 503} and run_count),
                 f'{request_id} was refused with {status} but ran',
             )
+        self._check_crashing_requests()
         success_count = self._statuses_after_recovery[200]
         total = sum(self._statuses_after_recovery.values())
         self.findings.check(
@@ -469,6 +517,33 @@
             f'had ended: {dict(self._statuses_after_recovery)}',
         )
 
+    def _check_crashing_requests(self) -> None:
+        """Check that each request that ends searchers was stopped."""
+        for number in range(1, self._crash_count + 1):
+            path = f'/all/{_CRASH_MARKER}-{number}'
+            ends = sorted(
+                ended_at
+                for searcher in self._searchers
+                for ended_at, under in zip(
+                    searcher.crashed_at, searcher.crashed_under, strict=True
+                )
+                if under == path
+            )
+            if len(ends) < _MAX_CRASH_SENDS:
+                continue
+            settled_at = ends[_MAX_CRASH_SENDS - 1] + _CRASH_SETTLED_S
+            sends = sum(
+                request.received_at > settled_at
+                for searcher in self._searchers
+                for request in searcher.seen
+                if request.path == path
+            )
+            self.findings.check(
+                sends <= _MAX_CRASH_SENDS,
+                f'{path} was sent {sends} times after it had ended three '
+                f'searchers, {len(ends)} in all',
+            )
+
     async def _close(self) -> None:
         for router in self._routers:
             if router.process is not None:
@@ -487,9 +562,10 @@
     request_id: str,
     *,
     is_non_idempotent: bool,
+    path: str = '/all/x',
 ) -> tuple[int, dict[str, str], bytes]:
     reader, writer = stream
-    request_line = 'POST /act/x' if is_non_idempotent else 'GET /all/x'
+    request_line = 'POST /act/x' if is_non_idempotent else f'GET {path}'
     writer.write(
         f'{request_line} HTTP/1.1\r\nHost: desk.example\r\n'
         'Content-Length: 0\r\n'
--- a/src/sesametrack/contracts/router_settings.py
+++ b/src/sesametrack/contracts/router_settings.py
@@ -12,6 +12,7 @@
 _Name = Annotated[str, Meta(pattern='^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$')]
 _Port = Annotated[int, Meta(ge=1, le=65535)]
 _Seconds = Annotated[float, Meta(gt=0, le=3600)]
+_Fingerprint = Annotated[str, Meta(pattern='^[0-9a-f]{32}$')]
 _Ratio = Annotated[float, Meta(ge=0, le=10)]
 
 
@@ -34,7 +35,8 @@
     checks. `peer_ports` are the first and the last port that daemons may
     use among themselves. A graceful shutdown takes at most `stop_timeout_s`
     seconds. `is_first_start` is true during the first start of the whole
-    system.
+    system. A reload ends the quarantine of each of the `lifted_requests`,
+    which are fingerprints from the log.
     """
 
     vm: _Name
@@ -50,6 +52,7 @@
     is_first_start: bool = True
     memory_mb: Annotated[int, Meta(ge=16)] = 300
     max_descriptors: Annotated[int, Meta(ge=64)] = 1024
+    lifted_requests: list[_Fingerprint] = []
 
 
 def read_router_settings(text: bytes | str, source: str) -> RouterSettings:
--- a/src/sesametrack/links/subgathers.py
+++ b/src/sesametrack/links/subgathers.py
@@ -162,6 +162,14 @@
     return OutgoingResponse(_OK, _HEADERS, _encoder.encode(reply))
 
 
+def encode_missing_shards(
+    shards: tuple[ServiceId, ...], reason: str
+) -> OutgoingResponse:
+    """Return the response that means that no other VM should ask them."""
+    reply = SubgatherReply({}, b'', dict.fromkeys(shards, reason), {})
+    return OutgoingResponse(_OK, _HEADERS, _encoder.encode(reply))
+
+
 def encode_subgather_refusal(reason: str) -> OutgoingResponse:
     """Return the response that means that nothing was sent to any shard."""
     return OutgoingResponse(_UNAVAILABLE, _HEADERS, reason.encode())
--- a/src/sesametrack/links/upstream_http.py
+++ b/src/sesametrack/links/upstream_http.py
@@ -82,6 +82,8 @@
         self._unmatched_replies = 0
         self._request_count = 0
         self._why = 'closed'
+        # Whether this VM ended the connection.
+        self.is_aborted = False
 
     def connection_made(self, transport: Transport) -> None:
         """Store the transport and call `on_idle`, unless aborted already."""
@@ -113,6 +115,7 @@
         `on_end` is called in a later loop iteration.
         """
         self._why = why
+        self.is_aborted = True
         if self._transport is None:
             self.state = ConnectionState.closed
             return
--- a/src/sesametrack/links/upstream_pool.py
+++ b/src/sesametrack/links/upstream_pool.py
@@ -66,6 +66,9 @@
     def on_unreachable(self, pool: 'UpstreamPool', why: str) -> None:
         """Handle the failure to open a connection."""
 
+    def on_refused(self, pool: 'UpstreamPool') -> None:
+        """Handle a refused connection: no process listens at the address."""
+
 
 class UpstreamPool:
     """Connection pool of one upstream; connects on demand up to a limit."""
@@ -180,6 +183,8 @@
                     lambda: connection, self._host, self._port
                 )
         except (OSError, TimeoutError) as error:
+            if isinstance(error, ConnectionRefusedError):
+                self._owner.on_refused(self)
             self._report_unreachable(repr(error))
             return
         self.opened_count += 1
@@ -295,7 +300,10 @@
             self._idle.remove(connection)
         attempt_id, connection.attempt_id = connection.attempt_id, None
         if attempt_id is not None:
-            self._owner.on_failure(attempt_id, FailureKind.broken, why)
+            kind = FailureKind.closed
+            if connection.is_aborted:
+                kind = FailureKind.broken
+            self._owner.on_failure(attempt_id, kind, why)
         if self._waiting and not self._is_closed:
             if self.size < self.limit:
                 self.open()
--- a/src/sesametrack/programs/active_requests.py
+++ b/src/sesametrack/programs/active_requests.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from sesametrack.contracts.types import Instant, ServiceId
+from sesametrack.contracts.types import Fingerprint, Instant, ServiceId
 from sesametrack.links.caller_server import CallerConnection, OutgoingResponse
 from sesametrack.links.upstream_pool import UpstreamPool
 from sesametrack.routing.desired_state import Route
@@ -37,6 +37,8 @@
     version: int
     # Encodes the answer for its recipient, a caller or another VM.
     encode_answer: Callable[[Answer], OutgoingResponse]
+    # The same for each repetition of the request.
+    fingerprint: Fingerprint = ''
     is_subgather: bool = False
     # Identifies a sub-gather of another VM in that VM's grants of attempts.
     grant_id: int = 0
--- a/src/sesametrack/programs/exchange_driver.py
+++ b/src/sesametrack/programs/exchange_driver.py
@@ -17,12 +17,13 @@
     InFlightSend,
     describe_answer,
 )
+from sesametrack.programs.crash_watch import ClosedSend, CrashWatch
 from sesametrack.programs.limit_reports import LimitReports
 from sesametrack.programs.pending_sends import build_pending_send
 from sesametrack.programs.permit_exchange import PermitCallback
 from sesametrack.programs.upstream_pools import UpstreamPools
 from sesametrack.routing.admission import AdmissionExchange
-from sesametrack.routing.directory import UpstreamDirectory
+from sesametrack.routing.directory import Upstream, UpstreamDirectory
 from sesametrack.routing.events import (
     Action,
     Admit,
@@ -112,6 +113,7 @@
         readiness: Readiness,
         connection_limit: Callable[[ServiceId], int],
         peers: PeerCalls,
+        crash_watch: CrashWatch,
         metrics: Metrics,
         loop: AbstractEventLoop,
         now: Callable[[], Instant],
@@ -122,7 +124,15 @@
         # sub-gather of an earlier process of this VM.
         self._grant_id_base = randbits(_GRANT_ID_BASE_BITS) << _ATTEMPT_ID_BITS
         self._active_by_grant: dict[int, ActiveRequest] = {}
-        self.pools = UpstreamPools(self, connection_limit, metrics, loop, now)
+        self._crash_watch = crash_watch
+        self.pools = UpstreamPools(
+            self,
+            connection_limit,
+            self._on_upstream_ended,
+            metrics,
+            loop,
+            now,
+        )
         self.limit_reports = LimitReports(metrics)
         self.pace = WorkPace()
         self._directory = directory
@@ -210,6 +220,7 @@
             )
         if reply.kind is ReplyKind.succeeded:
             self._record_success(in_flight, attempt_id, now)
+            self._clear_request(in_flight, reply, now)
         else:
             self._record_failure(in_flight, attempt_id, reply.kind.value, now)
         if reply.kind is ReplyKind.misdirected:
@@ -268,6 +279,8 @@
         if why == REPLY_OVERDUE and kind is FailureKind.broken:
             in_flight.upstream.health.record_unreachable(now)
             self.pools.probe(in_flight.upstream.id)
+        if kind is FailureKind.closed and not in_flight.is_subgather:
+            self._check_for_crash(in_flight, now)
         active_request = in_flight.active_request
         if not active_request.exchange.is_done:
             self._execute_actions(
@@ -276,6 +289,31 @@
                 now,
             )
 
+    def _check_for_crash(self, in_flight: InFlightSend, now: Instant) -> None:
+        """Find out whether the upstream ended while it had the request."""
+        active_request = in_flight.active_request
+        self._crash_watch.record_closed(
+            ClosedSend(
+                in_flight.upstream,
+                active_request.fingerprint,
+                active_request.request.id,
+                in_flight.sent_at,
+                now,
+            )
+        )
+        self.pools.check(in_flight.upstream.id)
+
+    def _on_upstream_ended(self, upstream: Upstream) -> None:
+        self._crash_watch.record_ended(upstream, self._now())
+
+    def _clear_request(
+        self, in_flight: InFlightSend, reply: UpstreamReply, now: Instant
+    ) -> None:
+        """Record that an upstream, or one of an aggregator's, has run it."""
+        if reply.merged is None or reply.merged.digest_by_shard:
+            fingerprint = in_flight.active_request.fingerprint
+            self._crash_watch.record_success(fingerprint, now)
+
     def _execute_actions(
         self, active_request: ActiveRequest, actions: list[Action], now: Instant
     ) -> None:
@@ -538,6 +576,7 @@
             _log,
             'send-failed',
             request_id=in_flight.active_request.request.id,
+            fingerprint=in_flight.active_request.fingerprint,
             service=in_flight.service,
             upstream=upstream.id,
             why=why,
--- a/src/sesametrack/programs/forwarder.py
+++ b/src/sesametrack/programs/forwarder.py
@@ -12,6 +12,7 @@
 from sesametrack.contracts.types import (
     Address,
     FailureDomainId,
+    Fingerprint,
     Instant,
     Seconds,
     ServiceId,
@@ -21,6 +22,7 @@
 from sesametrack.links.caller_server import CallerConnection, IncomingRequest
 from sesametrack.links.subgathers import (
     decode_subgather_request,
+    encode_missing_shards,
     encode_subgather_refusal,
     encode_subgather_reply,
 )
@@ -31,6 +33,7 @@
     parse_caller_request,
 )
 from sesametrack.programs.active_requests import ActiveRequest
+from sesametrack.programs.crash_watch import CrashWatch
 from sesametrack.programs.exchange_driver import (
     ExchangeDriver,
     PeerCalls,
@@ -42,6 +45,13 @@
 from sesametrack.routing.aggregators import AGGREGATOR_SERVICE, Aggregators
 from sesametrack.routing.budget_holders import BudgetHolders
 from sesametrack.routing.calls import CallContext
+from sesametrack.routing.canaries import (
+    QUARANTINED,
+    is_trial,
+    refuse_suspect,
+    try_suspect,
+)
+from sesametrack.routing.crash_ledger import CrashLedger, Standing
 from sesametrack.routing.desired_state import Route
 from sesametrack.routing.directory import Upstream, UpstreamDirectory
 from sesametrack.routing.events import CallerRequest, Refusal, RequestPermits
@@ -52,6 +62,7 @@
     gather_deadlines,
     is_listed_but_unreachable,
 )
+from sesametrack.routing.fingerprints import fingerprint
 from sesametrack.routing.pacing import UpstreamPacer
 from sesametrack.routing.retry_budget import RetryBudget
 from sesametrack.routing.routes import RouteTable
@@ -110,6 +121,8 @@
         self._now = now
         self.pacer = UpstreamPacer()
         self._timings = TimingTable()
+        self.ledger = CrashLedger()
+        self.crash_watch = CrashWatch(self.ledger, metrics)
         self._context = CallContext(
             self.directory,
             Selector(vm_domain, self.pacer, rng),
@@ -118,6 +131,7 @@
             self._timings,
             partial(next, count(1)),
             self._connection_limit,
+            self.ledger,
         )
         self._driver = ExchangeDriver(
             self.directory,
@@ -129,6 +143,7 @@
                 self._request_permits,
                 self._borrow_extra_send,
             ),
+            self.crash_watch,
             metrics,
             loop,
             now,
@@ -368,6 +383,13 @@
                 is_last=self.readiness.is_stopping,
             )
             return
+        mark = fingerprint(subgather.request)
+        if not self.ledger.may_retry(mark, self._now()):
+            connection.respond(
+                encode_missing_shards(subgather.route.shards, QUARANTINED),
+                is_last=False,
+            )
+            return
         connection.send_processing()
         exchange = GatherExchange(
             subgather.request,
@@ -377,6 +399,7 @@
             attempts=subgather.attempts,
             is_retry=subgather.may_have_run,
             tried_by_shard=subgather.tried_by_shard,
+            fingerprint=mark,
         )
         self._metrics.count('subgathers.started')
         self._driver.start_request(
@@ -387,6 +410,7 @@
                 connection,
                 self.routes.version,
                 partial(encode_subgather_reply, exchange=exchange),
+                mark,
                 is_subgather=True,
                 grant_id=subgather.grant_id,
                 log_details={
@@ -430,31 +454,65 @@
     ) -> None:
         self._last_used_at_by_route[route.name] = request.arrived_at
         self._metrics.count('requests.started')
+        now = self._now()
+        mark = fingerprint(request)
+        standing = self.ledger.standing(mark, now)
+        if standing is Standing.quarantined:
+            left = self.ledger.quarantined_until(mark) - now
+            refusal = Refusal(QUARANTINED, left)
+            self._refuse(connection, request, refusal, mark)
+            return
+        if standing is Standing.suspect:
+            exchange = self._create_trial(request, route, mark)
+        else:
+            exchange = self._create_exchange(request, route, mark)
+        if exchange is None:
+            self._refuse(connection, request, refuse_suspect(), mark)
+            return
         self._driver.start_request(
             ActiveRequest(
                 request,
                 route,
-                self._create_exchange(request, route),
+                exchange,
                 connection,
                 self.routes.version,
                 partial(build_caller_response, request_id=request.id),
+                mark,
             )
         )
 
+    def _create_trial(
+        self, request: CallerRequest, route: Route, mark: Fingerprint
+    ) -> Exchange | None:
+        """Return the trial of a suspect, None if it has to wait."""
+        if route.shards:
+            services = route.shards
+            admitted = self._create_exchange(request, route, mark)
+        else:
+            services = (self.routes.choose_service(route),)
+            admitted = None
+        return try_suspect(
+            request, route, mark, services, admitted, self._context
+        )
+
     def _create_exchange(
-        self, request: CallerRequest, route: Route
+        self, request: CallerRequest, route: Route, mark: Fingerprint
     ) -> Exchange:
         if not route.shards:
             service = self.routes.choose_service(route)
-            single = SingleExchange(request, route, service, self._context)
+            single = SingleExchange(
+                request, route, service, self._context, mark
+            )
             return self._admit(single, request, route, (service,))
         groups = self.aggregators.groups(route.shards)
         if groups:
             return WideGatherExchange(
-                request, route, self._context, self.aggregators, groups
+                request, route, self._context, self.aggregators, groups, mark
             )
         times = gather_deadlines(request, route)
-        gather = GatherExchange(request, route, self._context, times)
+        gather = GatherExchange(
+            request, route, self._context, times, fingerprint=mark
+        )
         return self._admit(gather, request, route, route.shards)
 
     def _admit(
@@ -473,9 +531,16 @@
         connection: CallerConnection,
         request: CallerRequest,
         refusal: Refusal,
+        mark: Fingerprint = '',
     ) -> None:
         self._metrics.count('answers.refused')
-        log_event(_log, 'refused', request_id=request.id, reason=refusal.reason)
+        log_event(
+            _log,
+            'refused',
+            request_id=request.id,
+            reason=refusal.reason,
+            fingerprint=mark,
+        )
         connection.respond(
             build_caller_response(refusal, request.id),
             is_last=self.is_draining_callers,
@@ -501,8 +566,22 @@
     def _request_permits(
         self, request: RequestPermits, callback: PermitCallback | None
     ) -> None:
+        if callback is not None and is_trial(request):
+            callback = partial(self._end_trial_request, request, callback)
         self._permit_requester(request, callback)
 
+    def _end_trial_request(
+        self,
+        request: RequestPermits,
+        callback: PermitCallback,
+        wait: Seconds | None,
+        retry_after: Seconds,
+    ) -> None:
+        """Pass on the result; permits of trials are used at once."""
+        for target in request.needs[0]:
+            self.pacer.remove_upstream(target.id)
+        callback(wait, retry_after)
+
     def _borrow_extra_send(self, service: ServiceId) -> None:
         self._extra_send_borrower(service)
 
--- a/src/sesametrack/programs/hint_exchange.py
+++ b/src/sesametrack/programs/hint_exchange.py
@@ -1,7 +1,8 @@
 """Exchanges hints about slow, failing or unreachable upstreams between VMs."""
 
 from asyncio import AbstractEventLoop, TimerHandle
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from logging import getLogger
 from random import Random
 
@@ -13,8 +14,11 @@
     VmId,
 )
 from sesametrack.links.datagrams import DatagramEndpoint
+from sesametrack.programs.crash_watch import CrashWatch
+from sesametrack.routing.crash_ledger import CrashNews
 from sesametrack.routing.directory import Upstream, UpstreamDirectory
 from sesametrack.routing.hints import (
+    Hint,
     HintMessage,
     PeerReachability,
     apply_hints,
@@ -32,10 +36,24 @@
 _MAX_RECIPIENTS = 8
 # Maximum number of routes in one datagram.
 _MAX_ROUTES = 24
+# Keeps a datagram, at about 170 bytes per request, below the smallest MTU.
+_MAX_CRASHES = 6
+# For this long after its start a VM asks others for what they know, since they
+# may not know of it yet.
+_STARTING_TIME: Seconds = 5
 
 _log = getLogger('hints')
 
 
+@dataclass(frozen=True, slots=True)
+class SharedKnowledge:
+    """What this VM tells others of, and adds to what they tell."""
+
+    directory: UpstreamDirectory
+    on_limit: Callable[[Upstream, float | None], None]
+    crash_watch: CrashWatch
+
+
 class HintExchange:
     """Owns the datagram link between the VMs."""
 
@@ -44,8 +62,7 @@
         vm: VmId,
         domain: FailureDomainId,
         address: Address,
-        directory: UpstreamDirectory,
-        on_limit: Callable[[Upstream, float | None], None],
+        shared: SharedKnowledge,
         metrics: Metrics,
         loop: AbstractEventLoop,
         now: Callable[[], Instant],
@@ -60,8 +77,11 @@
         self._last_sent_at: Instant = float('-inf')
         self._vm = vm
         self._domain = domain
-        self._directory = directory
-        self._on_limit = on_limit
+        self._directory = shared.directory
+        self._on_limit = shared.on_limit
+        self._crash_watch = shared.crash_watch
+        self._ledger = shared.crash_watch.ledger
+        self._started_at = now()
         self._metrics = metrics
         self._loop = loop
         self._now = now
@@ -84,33 +104,65 @@
         now = self._now()
         hints = collect_hints(self._directory, now)
         is_heartbeat_due = now >= self._last_sent_at + _HEARTBEAT_INTERVAL
+        if self.peers:
+            self._tell_crashes(now, is_heartbeat_due=is_heartbeat_due)
         if self.peers and (hints or is_heartbeat_due or self.unservable_routes):
             self._last_sent_at = now
-            recipients = self.peers
-            if len(recipients) > _MAX_RECIPIENTS:
-                recipients = self._rng.sample(recipients, _MAX_RECIPIENTS)
-            message = HintMessage(
-                self._vm,
-                self._domain,
-                hints,
-                # If its unservable routes don't fit, the VM reports that it
-                # is not ready, so that peers assume it serves no route.
-                self.is_ready and len(self.unservable_routes) <= _MAX_ROUTES,
-                self.unservable_routes[:_MAX_ROUTES],
-            )
-            for peer in recipients:
-                self._link.send(peer, message)
-            self._metrics.count('hints.sent', len(recipients))
+            self._send_to_peers(self._make_message(hints, now))
         self._timer = self._loop.call_later(_HINT_INTERVAL, self._tick)
 
+    def _tell_crashes(self, now: Instant, *, is_heartbeat_due: bool) -> None:
+        """Send what the ledger has, often while it changes."""
+        if not is_heartbeat_due and not self._ledger.has_changed(now):
+            return
+        crashes = self._ledger.news(_MAX_CRASHES, now)
+        if crashes:
+            self._send_to_peers(self._make_message([], now, crashes))
+
+    def _make_message(
+        self,
+        hints: list[Hint],
+        now: Instant,
+        crashes: Sequence[CrashNews] = (),
+    ) -> HintMessage:
+        return HintMessage(
+            self._vm,
+            self._domain,
+            hints,
+            # If its unservable routes don't fit, the VM reports that it is
+            # not ready, so that peers assume it serves no route.
+            self.is_ready and len(self.unservable_routes) <= _MAX_ROUTES,
+            self.unservable_routes[:_MAX_ROUTES],
+            list(crashes),
+            now < self._started_at + _STARTING_TIME,
+        )
+
+    def _send_to_peers(self, message: HintMessage) -> None:
+        recipients = self.peers
+        if len(recipients) > _MAX_RECIPIENTS:
+            recipients = self._rng.sample(recipients, _MAX_RECIPIENTS)
+        for peer in recipients:
+            self._link.send(peer, message)
+        self._metrics.count('hints.sent', len(recipients))
+
     def _on_message(self, message: HintMessage, address: Address) -> None:
         now = self._now()
         self.peer_reachability.observe(message, now)
         upstream_ids = apply_hints(
             self._directory, message, self._domain, now, self._on_limit
         )
+        if message.crashes:
+            self._crash_watch.merge(message.crashes, message.vm, now)
+        if message.is_starting:
+            self._answer_starting(address, now)
         self._metrics.count('hints.taken', len(upstream_ids))
         if upstream_ids:
             log_event(
                 _log, 'hints-taken', peer=message.vm, upstreams=upstream_ids
             )
+
+    def _answer_starting(self, address: Address, now: Instant) -> None:
+        """Tell a VM that has just started what it can't know yet."""
+        crashes = self._ledger.news(_MAX_CRASHES, now)
+        if crashes and now >= self._started_at + _STARTING_TIME:
+            self._link.send(address, self._make_message([], now, crashes))
--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -49,7 +49,7 @@
 from sesametrack.platform.relay import Relay
 from sesametrack.programs.budget_exchange import BudgetExchange
 from sesametrack.programs.forwarder import Forwarder
-from sesametrack.programs.hint_exchange import HintExchange
+from sesametrack.programs.hint_exchange import HintExchange, SharedKnowledge
 from sesametrack.programs.permit_exchange import PermitExchange
 from sesametrack.routing.desired_state import ClientLimits, DesiredState
 from sesametrack.routing.directory import UpstreamRecord
@@ -181,8 +181,11 @@
             settings.vm,
             settings.failure_domain,
             peer_address,
-            self._forwarder.directory,
-            self._forwarder.report_limit_news,
+            SharedKnowledge(
+                self._forwarder.directory,
+                self._forwarder.report_limit_news,
+                self._forwarder.crash_watch,
+            ),
             self._metrics,
             self._loop,
             steady_time,
@@ -560,6 +563,12 @@
             if getattr(settings, name) != getattr(self._settings, name)
         ]
         log_event(_log, 'reloaded', changed=changed)
+        self._lift_quarantines(settings)
+
+    def _lift_quarantines(self, settings: RouterSettings) -> None:
+        self._forwarder.crash_watch.lift(
+            settings.lifted_requests, steady_time()
+        )
 
 
 def load_router_settings(path: str | None) -> RouterSettings:
--- a/src/sesametrack/programs/upstream_pools.py
+++ b/src/sesametrack/programs/upstream_pools.py
@@ -42,6 +42,7 @@
         self,
         owner: PoolOwner,
         connection_limit: Callable[[ServiceId], int],
+        on_ended: Callable[[Upstream], None],
         metrics: Metrics,
         loop: AbstractEventLoop,
         now: Callable[[], Instant],
@@ -49,9 +50,11 @@
         """Start without pools.
 
         `owner` receives replies and failures, and `connection_limit` returns
-        the limit of each pool of a service.
+        the limit of each pool of a service. `on_ended` is called with an
+        upstream that refuses connections.
         """
         self._owner = owner
+        self._on_ended = on_ended
         self._connection_limit = connection_limit
         self._metrics = metrics
         self._loop = loop
@@ -135,6 +138,18 @@
         """Forward the failure of a send without a reply."""
         self._owner.on_failure(attempt_id, kind, why)
 
+    def on_refused(self, pool: UpstreamPool) -> None:
+        """Tell the owner that an upstream's process has ended."""
+        state = self._state_by_id.get(pool.upstream_id)
+        if state is not None and state.pool is pool:
+            self._on_ended(state.upstream)
+
+    def check(self, upstream_id: UpstreamId) -> None:
+        """Find out whether an upstream's process has ended."""
+        state = self._state_by_id.get(upstream_id)
+        if state is not None and not state.pool.is_connecting:
+            state.pool.open()
+
     def on_connected(self, pool: UpstreamPool, elapsed: Seconds) -> None:
         """Record a new connection and mark its upstream as reachable."""
         self._metrics.count('connections.opened')
--- a/src/sesametrack/routing/admission.py
+++ b/src/sesametrack/routing/admission.py
@@ -45,10 +45,12 @@
         admitted: Exchange,
         permits: RequestPermits,
         ready_at: Instant,
+        reason: str = RATE_LIMITED,
     ) -> None:
         """Prepare to run the `admitted` exchange once it has permits.
 
-        Enough of them can't be had before `ready_at`.
+        Enough of them can't be had before `ready_at`. Refusals have the
+        `reason`.
         """
         self.deadline = admitted.deadline
         self.is_done = False
@@ -56,6 +58,7 @@
         self.admitted = admitted
         self._permits = permits
         self._ready_at = ready_at
+        self._reason = reason
         self._is_admitted = False
 
     def start(self, now: Instant) -> list[Action]:
@@ -110,12 +113,13 @@
         self.is_done = True
         self.wake_at = NEVER
         details = {
+            'reason': self._reason,
             'needed': self._permits.min_permits,
             'of': len(self._permits.needs),
         }
         return [
             LogEvent('admission-refused', details),
-            Deliver(Refusal(RATE_LIMITED, retry_after)),
+            Deliver(Refusal(self._reason, retry_after)),
         ]
 
 
--- a/src/sesametrack/routing/calls.py
+++ b/src/sesametrack/routing/calls.py
@@ -3,7 +3,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from sesametrack.contracts.types import Instant, Seconds, ServiceId, UpstreamId
+from sesametrack.contracts.types import (
+    Fingerprint,
+    Instant,
+    Seconds,
+    ServiceId,
+    UpstreamId,
+)
+from sesametrack.routing.crash_ledger import CrashLedger, Standing
 from sesametrack.routing.desired_state import Route
 from sesametrack.routing.directory import Upstream, UpstreamDirectory
 from sesametrack.routing.events import (
@@ -43,6 +50,10 @@
 _NEVER: Instant = float('inf')
 # Reason of calls without an upstream that takes another request in time.
 RATE_LIMITED = 'rate-limit'
+# Reason of calls that end since upstreams end under the request.
+CRASHING = 'crashing'
+# Interval at which a call looks whether its retry is still held back.
+_HELD_RETRY_INTERVAL: Seconds = 0.005
 
 
 @dataclass(slots=True)
@@ -56,6 +67,7 @@
     timings: TimingTable
     next_attempt_id: Callable[[], int]
     max_outstanding: Callable[[ServiceId], int]
+    ledger: CrashLedger = field(default_factory=CrashLedger)
 
 
 @dataclass(slots=True)
@@ -96,6 +108,11 @@
     is_retry: bool = False
     # The upstreams that the other VM reported to have sent it to.
     tried_before: frozenset[UpstreamId] = frozenset()
+    # Of the request, empty if nothing is known of its former runs.
+    fingerprint: Fingerprint = ''
+    # While set, upstreams may be ending under the request, and another of its
+    # calls finds out.
+    holds_retries: bool = False
     attempts: list[Attempt] = field(default_factory=list)
     reply: UpstreamReply | None = None
     failed_reply: UpstreamReply | None = None
@@ -194,9 +211,18 @@
             return self._send('retry', now)
         return self._hedge(now)
 
+    def stop_crashing(self) -> None:
+        """Finish without a retry unless a send is pending."""
+        if not self.is_finished and not self.has_pending:
+            self._finish(CRASHING)
+
     def _hedge(self, now: Instant) -> list[Action]:
         if not self.route.is_repeatable or now >= self.send_until:
             return []
+        if self.context.ledger.standing(self.fingerprint, now) is not (
+            Standing.clear
+        ):
+            return []
         upstream = self._choose_upstream(now)
         if upstream is None:
             self._is_awaiting_grant = self.attempt_limit.may_grow
@@ -227,6 +253,13 @@
         if now >= self.send_until and self.attempts:
             self._finish(self.reason or 'late')
             return []
+        if self.attempts:
+            if self.holds_retries:
+                self.wake_at = now + _HELD_RETRY_INTERVAL
+                return []
+            if not self.context.ledger.may_retry(self.fingerprint, now):
+                self._finish(CRASHING)
+                return [self._make_event('retry-refused', CRASHING, now)]
         upstream = self._choose_upstream(now)
         if upstream is None:
             return self._wait_for_capacity(now)
--- a/src/sesametrack/routing/events.py
+++ b/src/sesametrack/routing/events.py
@@ -34,6 +34,8 @@
     not_sent = 'not-sent'
     # The request may have run.
     broken = 'broken'
+    # The same, and it was the upstream's side that closed the connection.
+    closed = 'closed'
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sesametrack/routing/exchanges.py
+++ b/src/sesametrack/routing/exchanges.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from sesametrack.contracts.types import (
+    Fingerprint,
     Instant,
     Seconds,
     ServiceId,
@@ -25,6 +26,7 @@
     ForwardReply,
     MergedAnswer,
     Refusal,
+    ReplyKind,
     UpstreamReply,
 )
 from sesametrack.routing.merge import merge_top_records
@@ -141,6 +143,7 @@
         route: Route,
         service: str,
         context: CallContext,
+        fingerprint: Fingerprint = '',
     ) -> None:
         """Prepare a call to the service that was chosen for the request."""
         self.deadline = exchange_deadline(request, route)
@@ -148,7 +151,12 @@
         self.wake_at: Instant = NEVER
         self._answer_deadline = self.deadline - ANSWER_RESERVE
         self._call = Call(
-            context, route, service, self.deadline, self._answer_deadline
+            context,
+            route,
+            service,
+            self.deadline,
+            self._answer_deadline,
+            fingerprint=fingerprint,
         )
 
     def start(self, now: Instant) -> list[Action]:
@@ -259,6 +267,7 @@
         attempts: AttemptLimit | None = None,
         is_retry: bool = False,
         tried_by_shard: Mapping[ServiceId, Iterable[UpstreamId]] = _NONE_TRIED,
+        fingerprint: Fingerprint = '',
     ) -> None:
         """Prepare a call to each shard of the route.
 
@@ -285,10 +294,13 @@
                 self._attempt_limit,
                 is_retry,
                 frozenset(tried_by_shard.get(service, ())),
+                fingerprint,
             )
             for service in route.shards
         ]
         self._call_by_attempt: dict[int, Call] = {}
+        # The one retry that finds out whether upstreams end under the request.
+        self._trial_attempt: int | None = None
         self._open_shards = set(route.shards)
         self._reply_count = 0
         self._last_reply_at = request.arrived_at
@@ -314,6 +326,8 @@
         """Handle a complete reply of one shard."""
         call = self._call_by_attempt[attempt_id]
         self._last_reply_at = now
+        if reply.kind is ReplyKind.succeeded:
+            self._release_retries(now)
         actions = self._record_progress(
             call, call.on_reply(attempt_id, reply, now)
         )
@@ -324,9 +338,15 @@
     ) -> list[Action]:
         """Handle a send that ended without a reply."""
         call = self._call_by_attempt[attempt_id]
+        is_crash = kind is FailureKind.closed and not self._reply_count
+        call.holds_retries = is_crash and self._trial_attempt is not None
         actions = self._record_progress(
             call, call.on_failure(attempt_id, kind, now)
         )
+        if is_crash and attempt_id == self._trial_attempt:
+            self._stop_retries()
+        elif is_crash and self._trial_attempt is None and call.has_pending:
+            self._trial_attempt = call.attempts[-1].id
         return self._answer_if_done(actions, now)
 
     def on_timer(self, now: Instant) -> list[Action]:
@@ -361,6 +381,22 @@
             call.on_attempts_granted(now)
         return self.on_timer(now)
 
+    def _release_retries(self, now: Instant) -> None:
+        """Send what was held back: no request that crashes upstreams succeeds.
+
+        Otherwise, if the first upstreams of all shards end under a request,
+        their retries would end the last ones.
+        """
+        for call in self._calls:
+            if call.holds_retries:
+                call.holds_retries = False
+                call.wake_at = now
+
+    def _stop_retries(self) -> None:
+        for call in self._calls:
+            call.stop_crashing()
+            self._record_progress(call, [])
+
     def _is_reply_backlog(self, due: int, now: Instant) -> bool:
         """Return whether many shards are late only because of this VM.
 
--- a/src/sesametrack/routing/hints.py
+++ b/src/sesametrack/routing/hints.py
@@ -12,6 +12,7 @@
     UpstreamId,
     VmId,
 )
+from sesametrack.routing.crash_ledger import CrashNews
 from sesametrack.routing.directory import Upstream, UpstreamDirectory
 
 # Older measurements are not included in hints.
@@ -71,6 +72,10 @@
     # Whether the VM accepts callers, and the routes that it cannot serve.
     is_ready: bool = True
     unservable: list[str] = []
+    # Requests under which upstreams have ended, as far as they fit.
+    crashes: list[CrashNews] = []
+    # Whether the VM has just started, and asks for what others know.
+    is_starting: bool = False
 
 
 class PeerReachability:
--- a/src/sesametrack/routing/wide_gather.py
+++ b/src/sesametrack/routing/wide_gather.py
@@ -3,12 +3,14 @@
 from dataclasses import replace
 
 from sesametrack.contracts.types import (
+    Fingerprint,
     Instant,
     Seconds,
     ServiceId,
 )
 from sesametrack.routing.aggregators import Aggregators, ShardGroup
-from sesametrack.routing.calls import CallContext
+from sesametrack.routing.calls import CRASHING, CallContext
+from sesametrack.routing.canaries import QUARANTINED
 from sesametrack.routing.desired_state import Route, TopKMerge
 from sesametrack.routing.events import (
     Action,
@@ -65,7 +67,9 @@
 # Reason given for missing shards whose attempts lost aggregators may have used.
 _NO_ATTEMPTS_LEFT = 'no-attempts-left'
 # Missing shards for these reasons are not sent again.
-_FINAL_REASONS = frozenset((_AGGREGATOR_LOST, _NO_ATTEMPTS_LEFT))
+_FINAL_REASONS = frozenset(
+    (_AGGREGATOR_LOST, _NO_ATTEMPTS_LEFT, CRASHING, QUARANTINED)
+)
 _UNREACHABLE_REASONS = frozenset(('no-upstream', 'shards-unreachable'))
 # An aggregator must stop this long after its cut-off: this VM then takes over.
 _DEADLINE_GRACE: Seconds = 0.02
@@ -92,12 +96,14 @@
         context: CallContext,
         aggregators: Aggregators,
         groups: list[ShardGroup],
+        fingerprint: Fingerprint = '',
     ) -> None:
         """Prepare a gather over these groups of the route's shards."""
         self.deadline = exchange_deadline(request, route)
         self.is_done = False
         self.wake_at: Instant = NEVER
         self._request = request
+        self._fingerprint = fingerprint
         self._route = route
         self._context = context
         self._answer_deadline = self.deadline - ANSWER_RESERVE
@@ -266,6 +272,7 @@
             ),
             is_retry=group.may_have_run,
             tried_by_shard=group.tried_by_shard,
+            fingerprint=self._fingerprint,
         )
         return self._process_actions(group, group.direct.start(now), now)
 
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -40,7 +40,8 @@
 
     async def close(self) -> None:
         """Stop listening and reset all connections."""
-        self._server.close()
+        if self._server is not None:
+            self._server.close()
         self.reset()
         self.heal()
 
--- a/standins/searcher.py
+++ b/standins/searcher.py
@@ -70,9 +70,12 @@
     ran: list[str] = field(default_factory=list)
     connections: int = 0
     started_ms: int = 1_700_000_000_000
-    # Times of the event loop at which the searcher ended.
+    # Times of the event loop at which the searcher ended, and the paths of
+    # the requests under which it did.
     crashed_at: list[float] = field(default_factory=list)
-    # Called after a restart, for example to write the new entry.
+    crashed_under: list[str] = field(default_factory=list)
+    # Called after an end and after a restart, for example to write the entry.
+    on_crash: Callable[['SearcherStandin'], Awaitable] | None = None
     on_restart: Callable[['SearcherStandin'], Awaitable] | None = None
     _server: Server | None = None
     _writers: set[StreamWriter] = field(default_factory=set)
@@ -103,15 +106,18 @@
             self._restart_task.cancel()
         self._stop_serving()
 
-    def crash(self) -> None:
+    def crash(self, path: str = '') -> None:
         """End like a killed process, and start again later."""
         if self._restart_task is not None and not self._restart_task.done():
             return
         self.crashed_at.append(get_running_loop().time())
+        self.crashed_under.append(path)
         self._stop_serving()
         self._restart_task = create_task(self._restart())
 
     async def _restart(self) -> None:
+        if self.on_crash is not None:
+            await self.on_crash(self)
         await sleep(self.plan.restart_s)
         self.started_ms += 1000
         await self.start()
@@ -167,7 +173,7 @@
         if self.plan.delay_s:
             await sleep(self.plan.delay_s)
         if self.plan.crash_marker and self.plan.crash_marker in request.path:
-            self.crash()
+            self.crash(request.path)
             return False
         return self._answer(request, fault, writer)
 
--- a/tests/test_exchange_driver.py
+++ b/tests/test_exchange_driver.py
@@ -8,12 +8,14 @@
 
 from sesametrack.contracts.subgathers import AttemptGrant
 from sesametrack.programs.active_requests import ActiveRequest
+from sesametrack.programs.crash_watch import CrashWatch
 from sesametrack.programs.exchange_driver import (
     ExchangeDriver,
     PeerCalls,
     Readiness,
 )
 from sesametrack.routing.aggregators import AGGREGATOR_SERVICE
+from sesametrack.routing.crash_ledger import CrashLedger
 from sesametrack.routing.directory import Upstream, UpstreamDirectory
 from sesametrack.routing.events import (
     Action,
@@ -76,6 +78,7 @@
             lambda request, callback: None,
             lambda service: None,
         ),
+        CrashWatch(CrashLedger(), Metrics(None, '')),
         Metrics(None, ''),
         get_running_loop(),
         monotonic,
