--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -35,7 +35,8 @@
 
     async def start(self) -> None:
         """Start listening."""
-        self._is_flowing.set()
+        if not self.silent:
+            self._is_flowing.set()
         self._server = await start_server(self._serve, self.host, self.port)
 
     async def close(self) -> None:
