Show that VMs without searchers refuse callers whom other VMs could serve

What callers see: while a VM is cut off from all searchers it answers 503, and on large fleets VMs that reach everything refuse most gathers as well.

--- a/tests/router_fleet.py
+++ b/tests/router_fleet.py
@@ -13,6 +13,7 @@
 from sesametrack.vms.coordinator import LeaseClaim
 from standins.object_store import ObjectStoreStandin
 from standins.searcher import SearcherStandin
+from tests.cut_paths import CuttableLoop, make_cuttable
 from tests.test_wide_path import send_request
 
 _CALLERS_PORT = 9601
@@ -82,6 +83,8 @@
     store: ObjectStoreStandin | None = None
     searchers: list[SearcherStandin] = field(default_factory=list)
     routers: list[Router] = field(default_factory=list)
+    # Each VM's paths to the searchers.
+    paths: list[CuttableLoop] = field(default_factory=list)
     answers: list[Answered] = field(default_factory=list)
     _request_count: int = 0
 
@@ -109,7 +112,11 @@
             'sesametrack-coordinators', 'upstream-rates', to_builtins(released)
         )
         for number in range(self.vm_count):
-            self.routers.append(self.make_router(number))
+            router = self.make_router(number)
+            self.routers.append(router)
+            self.paths.append(
+                make_cuttable(router, get_running_loop(), _is_searcher_port)
+            )
         await gather(*(router.start() for router in self.routers))
         for _ in range(_WAIT_ATTEMPTS):
             if all(router.is_ready for router in self.routers):
@@ -175,3 +182,7 @@
 
     async def _write_entry(self, searcher: SearcherStandin) -> None:
         await self.store.put('servers', searcher.id, searcher.entry)
+
+
+def _is_searcher_port(port: int) -> bool:
+    return port >= _FIRST_SEARCHER_PORT
