Hand requests on that a VM without paths to upstreams can't serve

What callers saw: VMs that had lost all searchers answered 503 at once; in large fleets VMs that reach everything refused most gathers as well.

Cause: a VM took its own lost paths for lost upstreams: it refused callers, and reported shards as unreachable to VMs that reach them.

--- a/src/sesametrack/links/upstream_http.py
+++ b/src/sesametrack/links/upstream_http.py
@@ -82,8 +82,9 @@
         self._unmatched_replies = 0
         self._request_count = 0
         self._why = 'closed'
-        # Whether this VM ended the connection.
+        # Whether this VM ended the connection, and whether its path failed.
         self.is_aborted = False
+        self.has_failed = False
 
     def connection_made(self, transport: Transport) -> None:
         """Store the transport and call `on_idle`, unless aborted already."""
@@ -150,6 +151,7 @@
         """Call `on_end` unless the connection was closed before."""
         previous_state = self.state
         self.state = ConnectionState.closed
+        self.has_failed = exc is not None and not self.is_aborted
         self._parser.close()
         why = repr(exc) if exc is not None else self._why
         if previous_state is not ConnectionState.closed:
--- a/src/sesametrack/links/upstream_pool.py
+++ b/src/sesametrack/links/upstream_pool.py
@@ -66,6 +66,9 @@
     def on_unreachable(self, pool: 'UpstreamPool', why: str) -> None:
         """Handle the failure to open a connection."""
 
+    def on_path_lost(self, pool: 'UpstreamPool') -> None:
+        """Handle the failure of the last connection, which was idle."""
+
     def on_refused(self, pool: 'UpstreamPool') -> None:
         """Handle a refused connection: no process listens at the address."""
 
@@ -185,6 +188,9 @@
         except (OSError, TimeoutError) as error:
             if isinstance(error, ConnectionRefusedError):
                 self._owner.on_refused(self)
+                if self._connections:
+                    # Requests wait for one of the open connections.
+                    return
             self._report_unreachable(repr(error))
             return
         self.opened_count += 1
@@ -304,6 +310,8 @@
             if connection.is_aborted:
                 kind = FailureKind.broken
             self._owner.on_failure(attempt_id, kind, why)
+        elif connection.has_failed and not self.size:
+            self._owner.on_path_lost(self)
         if self._waiting and not self._is_closed:
             if self.size < self.limit:
                 self.open()
--- a/src/sesametrack/programs/active_requests.py
+++ b/src/sesametrack/programs/active_requests.py
@@ -40,6 +40,8 @@
     # The same for each repetition of the request.
     fingerprint: Fingerprint = ''
     is_subgather: bool = False
+    # Whether another VM was asked to answer it, or has asked this one to.
+    is_handed_over: bool = False
     # Identifies a sub-gather of another VM in that VM's grants of attempts.
     grant_id: int = 0
     # Details to log with the outcome.
--- a/src/sesametrack/programs/exchange_driver.py
+++ b/src/sesametrack/programs/exchange_driver.py
@@ -27,6 +27,7 @@
 from sesametrack.routing.events import (
     Action,
     Admit,
+    Answer,
     BorrowExtraSend,
     CancelSubgather,
     Deliver,
@@ -38,6 +39,7 @@
     Send,
     UpstreamReply,
 )
+from sesametrack.routing.exchanges import Exchange
 from sesametrack.routing.pace import WorkPace
 from sesametrack.routing.timing import TimingTable
 from sesametrack.routing.wide_gather import WideGatherExchange
@@ -78,6 +80,8 @@
     send_grant: Callable[[UpstreamId, AttemptGrant], None]
     request_permits: PermitRequester
     borrow_extra_send: Callable[[ServiceId], None]
+    # Returns the exchange that hands a request on, None if it stays here.
+    hand_over: Callable[[ActiveRequest, Answer, Instant], Exchange | None]
 
 
 @dataclass(slots=True)
@@ -357,7 +361,7 @@
             now,
             send.deadline + _DEADLINE_GRACE,
             send.reason,
-            is_subgather=send.subgather is not None,
+            is_subgather=send.is_to_peer,
         )
         grant_id = self._grant_id_base | send.attempt_id
         pool.send(build_pending_send(active_request, send, grant_id, self._now))
@@ -412,6 +416,8 @@
         self, action: Deliver, active_request: ActiveRequest, now: Instant
     ) -> None:
         answer = action.answer
+        if self._hand_over(active_request, answer, now):
+            return
         connection = active_request.connection
         active_request.connection = None
         self._finish_request(active_request)
@@ -434,12 +440,32 @@
                 ),
             )
 
+    def _hand_over(
+        self, active_request: ActiveRequest, answer: Answer, now: Instant
+    ) -> bool:
+        """Hand a request on that this VM can't serve; return whether it is."""
+        if active_request.connection is None or active_request.is_handed_over:
+            return False
+        exchange = self._peers.hand_over(active_request, answer, now)
+        if exchange is None:
+            return False
+        active_request.is_handed_over = True
+        self._withdraw_sends(active_request)
+        active_request.exchange = exchange
+        active_request.timer_at = float('inf')
+        self._execute_actions(active_request, exchange.start(now), now)
+        return True
+
     def _finish_request(self, active_request: ActiveRequest) -> None:
         """Cancel the timer, queued sends and sub-gathers of a request."""
         active_request.exchange.is_done = True
         self._active_by_grant.pop(active_request.grant_id, None)
         if active_request.timer is not None:
             active_request.timer.cancel()
+        self._withdraw_sends(active_request)
+
+    def _withdraw_sends(self, active_request: ActiveRequest) -> None:
+        """Cancel what other VMs do for a request, and what is not written."""
         for attempt_id, in_flight in list(self._in_flight_by_attempt.items()):
             if in_flight.active_request is not active_request:
                 continue
--- a/src/sesametrack/programs/forwarder.py
+++ b/src/sesametrack/programs/forwarder.py
@@ -2,6 +2,7 @@
 
 from asyncio import AbstractEventLoop
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from itertools import count
 from logging import getLogger
@@ -19,7 +20,16 @@
     UpstreamId,
     VmId,
 )
-from sesametrack.links.caller_server import CallerConnection, IncomingRequest
+from sesametrack.links.caller_server import (
+    CallerConnection,
+    IncomingRequest,
+    OutgoingResponse,
+)
+from sesametrack.links.handovers import (
+    HANDOVER_PATH,
+    decode_handover,
+    encode_handover_reply,
+)
 from sesametrack.links.subgathers import (
     decode_subgather_request,
     encode_missing_shards,
@@ -54,7 +64,13 @@
 from sesametrack.routing.crash_ledger import CrashLedger, Standing
 from sesametrack.routing.desired_state import Route
 from sesametrack.routing.directory import Upstream, UpstreamDirectory
-from sesametrack.routing.events import CallerRequest, Refusal, RequestPermits
+from sesametrack.routing.events import (
+    Answer,
+    CallerRequest,
+    Failure,
+    Refusal,
+    RequestPermits,
+)
 from sesametrack.routing.exchanges import (
     Exchange,
     GatherExchange,
@@ -63,6 +79,12 @@
     is_listed_but_unreachable,
 )
 from sesametrack.routing.fingerprints import fingerprint
+from sesametrack.routing.handover import (
+    HandoverExchange,
+    HandoverTargets,
+    may_hand_over,
+)
+from sesametrack.routing.hints import PeerReachability
 from sesametrack.routing.pacing import UpstreamPacer
 from sesametrack.routing.retry_budget import RetryBudget
 from sesametrack.routing.routes import RouteTable
@@ -88,6 +110,10 @@
 _NO_STATE_RETRY_AFTER: Seconds = 0.1
 # Other VMs can serve what this one refuses because it shuts down.
 _STOPPING_RETRY_AFTER: Seconds = 0.02
+# A VM that can't reach this part of its upstreams may have lost paths of its
+# own. One that can't reach nearly all of them takes no work of other VMs.
+_DOUBTFUL_FRACTION = 0.4
+_CUT_OFF_FRACTION = 0.75
 
 _log = getLogger('forwarder')
 
@@ -123,6 +149,10 @@
         self._timings = TimingTable()
         self.ledger = CrashLedger()
         self.crash_watch = CrashWatch(self.ledger, metrics)
+        self.reachability = PeerReachability()
+        self._targets = HandoverTargets(
+            vm_domain, self.aggregators, self.reachability, rng
+        )
         self._context = CallContext(
             self.directory,
             Selector(vm_domain, self.pacer, rng),
@@ -142,6 +172,7 @@
                 self._send_grant,
                 self._request_permits,
                 self._borrow_extra_send,
+                self._hand_over,
             ),
             self.crash_watch,
             metrics,
@@ -192,6 +223,11 @@
         """Return whether this VM's own work takes far longer than usual."""
         return self._driver.pace.is_slow(self._now())
 
+    @property
+    def has_lost_paths(self) -> bool:
+        """Return whether this VM's own paths to upstreams may be the fault."""
+        return self._pools.unreachable_fraction() >= _DOUBTFUL_FRACTION
+
     def unreachable_routes(self) -> list[str]:
         """Return the routes whose listed upstreams are unreachable."""
         if self.routes.state is None:
@@ -351,7 +387,97 @@
                 self._refuse(connection, request, refusal)
                 return
             request = fitted
-        self._start_request(connection, request, route)
+        self._start_request(
+            connection,
+            request,
+            route,
+            partial(build_caller_response, request_id=request.id),
+        )
+
+    def on_peer_request(
+        self, connection: CallerConnection, incoming: IncomingRequest
+    ) -> None:
+        """Handle a request of another VM."""
+        if incoming.target == HANDOVER_PATH:
+            self._on_handover(connection, incoming)
+        else:
+            self.on_subgather(connection, incoming)
+
+    def _on_handover(
+        self, connection: CallerConnection, incoming: IncomingRequest
+    ) -> None:
+        """Answer a caller's request that another VM can't serve."""
+        try:
+            request, max_attempts = decode_handover(incoming)
+        except ProtocolError as error:
+            log_event(_log, 'handover-refused', 30, problem=str(error))
+            connection.respond(
+                encode_subgather_refusal(str(error)), is_last=True
+            )
+            return
+        route = None
+        if self.routes.state is not None and self.directory.has_listing:
+            route = self.routes.find(request.host, request.path)
+        if route is None or not self._may_take_work:
+            self._metrics.count('handovers.refused')
+            log_event(_log, 'handover-refused', request_id=request.id)
+            connection.respond(
+                encode_subgather_refusal('not-ready'),
+                is_last=self.readiness.is_stopping,
+            )
+            return
+        self._metrics.count('handovers.taken')
+        connection.send_processing()
+        self._start_request(
+            connection,
+            request,
+            replace(route, max_attempts=min(route.max_attempts, max_attempts)),
+            partial(_encode_handover_answer, request_id=request.id),
+            is_handed_over=True,
+        )
+
+    @property
+    def _may_take_work(self) -> bool:
+        """Return whether other VMs may rely on this one."""
+        return (
+            not self.readiness.is_stopping
+            and self.directory.has_listing
+            and self._driver.pace.may_take_work(self._now())
+            and self._pools.unreachable_fraction() < _CUT_OFF_FRACTION
+        )
+
+    def _hand_over(
+        self, active_request: ActiveRequest, answer: Answer, now: Instant
+    ) -> Exchange | None:
+        """Return the handover of a request that other VMs can serve.
+
+        Upstreams that this VM can't reach may be within the reach of others,
+        unless it reaches most: then the rest has probably ended.
+        """
+        if not self.has_lost_paths:
+            return None
+        route = active_request.route
+        deadline = active_request.exchange.deadline
+        if active_request.is_subgather:
+            return None
+        if not may_hand_over(answer, route, deadline, now):
+            return None
+        attempts = route.max_attempts
+        if isinstance(answer, Failure):
+            attempts = active_request.exchange.attempts_left
+        if not attempts:
+            return None
+        if self._targets.choose(route, set(), now) is None:
+            return None
+        self._metrics.count('handovers.sent')
+        return HandoverExchange(
+            active_request.request,
+            route,
+            self._targets,
+            self._context.next_attempt_id,
+            answer,
+            attempts,
+        )
 
     def on_subgather(
         self, connection: CallerConnection, incoming: IncomingRequest
@@ -365,18 +491,14 @@
                 encode_subgather_refusal(str(error)), is_last=True
             )
             return
-        is_slow = not self._driver.pace.may_take_work(self._now())
-        if (
-            self.readiness.is_stopping
-            or is_slow
-            or not self.directory.has_listing
-        ):
+        if not self._may_take_work:
             log_event(
                 _log,
                 'subgather-refused',
                 request_id=subgather.request.id,
                 is_stopping=self.readiness.is_stopping,
-                is_slow=is_slow,
+                is_slow=not self._driver.pace.may_take_work(self._now()),
+                unreachable=round(self._pools.unreachable_fraction(), 2),
             )
             connection.respond(
                 encode_subgather_refusal('not-ready'),
@@ -451,6 +573,9 @@
         connection: CallerConnection,
         request: CallerRequest,
         route: Route,
+        encode_answer: Callable[[Answer], OutgoingResponse],
+        *,
+        is_handed_over: bool = False,
     ) -> None:
         self._last_used_at_by_route[route.name] = request.arrived_at
         self._metrics.count('requests.started')
@@ -460,14 +585,15 @@
         if standing is Standing.quarantined:
             left = self.ledger.quarantined_until(mark) - now
             refusal = Refusal(QUARANTINED, left)
-            self._refuse(connection, request, refusal, mark)
+            self._refuse(connection, request, refusal, encode_answer, mark)
             return
         if standing is Standing.suspect:
             exchange = self._create_trial(request, route, mark)
         else:
             exchange = self._create_exchange(request, route, mark)
         if exchange is None:
-            self._refuse(connection, request, refuse_suspect(), mark)
+            refusal = refuse_suspect()
+            self._refuse(connection, request, refusal, encode_answer, mark)
             return
         self._driver.start_request(
             ActiveRequest(
@@ -476,8 +602,9 @@
                 exchange,
                 connection,
                 self.routes.version,
-                partial(build_caller_response, request_id=request.id),
+                encode_answer,
                 mark,
+                is_handed_over=is_handed_over,
             )
         )
 
@@ -507,7 +634,13 @@
         groups = self.aggregators.groups(route.shards)
         if groups:
             return WideGatherExchange(
-                request, route, self._context, self.aggregators, groups, mark
+                request,
+                route,
+                self._context,
+                self.aggregators,
+                groups,
+                mark,
+                self._targets,
             )
         times = gather_deadlines(request, route)
         gather = GatherExchange(
@@ -531,6 +664,7 @@
         connection: CallerConnection,
         request: CallerRequest,
         refusal: Refusal,
+        encode_answer: Callable[[Answer], OutgoingResponse] | None = None,
         mark: Fingerprint = '',
     ) -> None:
         self._metrics.count('answers.refused')
@@ -541,9 +675,12 @@
             reason=refusal.reason,
             fingerprint=mark,
         )
+        if encode_answer is None:
+            encode_answer = partial(
+                build_caller_response, request_id=request.id
+            )
         connection.respond(
-            build_caller_response(refusal, request.id),
-            is_last=self.is_draining_callers,
+            encode_answer(refusal), is_last=self.is_draining_callers
         )
 
     def _answer_unrouted(
@@ -601,3 +738,12 @@
         return connection_limit(
             spec.max_connections, self._shares.fraction(service)
         )
+
+
+def _encode_handover_answer(
+    answer: Answer, request_id: str
+) -> OutgoingResponse:
+    return encode_handover_reply(
+        build_caller_response(answer, request_id),
+        has_not_run=isinstance(answer, Refusal),
+    )
--- a/src/sesametrack/programs/hint_exchange.py
+++ b/src/sesametrack/programs/hint_exchange.py
@@ -52,6 +52,7 @@
     directory: UpstreamDirectory
     on_limit: Callable[[Upstream, float | None], None]
     crash_watch: CrashWatch
+    reachability: PeerReachability
 
 
 class HintExchange:
@@ -70,7 +71,7 @@
     ) -> None:
         """Start without peers; `start` opens the socket."""
         self.peers: list[Address] = []
-        self.peer_reachability = PeerReachability()
+        self.peer_reachability = shared.reachability
         # What this VM announces about itself.
         self.is_ready = False
         self.unservable_routes: list[str] = []
--- a/src/sesametrack/programs/pending_sends.py
+++ b/src/sesametrack/programs/pending_sends.py
@@ -4,6 +4,10 @@
 from functools import partial
 
 from sesametrack.contracts.types import Instant
+from sesametrack.links.handovers import (
+    decode_handover_reply,
+    encode_handover,
+)
 from sesametrack.links.subgathers import (
     decode_subgather_reply,
     encode_subgather_request,
@@ -43,6 +47,14 @@
             is_repeatable=True,
             write_by=send.deadline,
         )
+    if send.handover_attempts:
+        return PendingSend(
+            send.attempt_id,
+            partial(encode_handover, request, send, now),
+            decode_handover_reply,
+            active_request.route.is_repeatable,
+            send.deadline,
+        )
     return PendingSend(
         send.attempt_id,
         partial(
--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -161,7 +161,7 @@
             port,
             self._loop,
             steady_time,
-            self._forwarder.on_subgather,
+            self._forwarder.on_peer_request,
             self._forwarder.on_caller_disconnected,
             self._forwarder.on_request_refused,
         )
@@ -185,6 +185,7 @@
                 self._forwarder.directory,
                 self._forwarder.report_limit_news,
                 self._forwarder.crash_watch,
+                self._forwarder.reachability,
             ),
             self._metrics,
             self._loop,
@@ -500,8 +501,9 @@
         serving_vms = self._hint_exchange.peer_reachability.vms_serving(
             self._unservable_in_use, now
         )
+        has_lost = self._unservable_in_use or self._forwarder.has_lost_paths
         is_isolated = bool(
-            self._unservable_in_use and (self._unavailable_kinds or serving_vms)
+            has_lost and (self._unavailable_kinds or serving_vms)
         )
         if is_isolated is not self._forwarder.readiness.is_isolated:
             self._forwarder.readiness.is_isolated = is_isolated
@@ -513,7 +515,9 @@
                 served_by=serving_vms,
             )
         self._hint_exchange.unservable_routes = unreachable
-        self._hint_exchange.is_ready = self.is_ready
+        self._hint_exchange.is_ready = (
+            self.is_ready and not self._forwarder.has_lost_paths
+        )
         if (
             self._unservable_in_use
             and now > self._store_verified_at + _STORE_VERIFY_INTERVAL
--- a/src/sesametrack/programs/upstream_pools.py
+++ b/src/sesametrack/programs/upstream_pools.py
@@ -8,6 +8,7 @@
 from sesametrack.contracts.types import Instant, Seconds, ServiceId, UpstreamId
 from sesametrack.links.reply_parser import ReplyMemory
 from sesametrack.links.upstream_pool import PoolOwner, UpstreamPool
+from sesametrack.routing.aggregators import AGGREGATOR_SERVICE
 from sesametrack.routing.directory import Upstream
 from sesametrack.routing.events import FailureKind, UpstreamReply
 from sesametrack.telemetry.metrics import Metrics
@@ -21,6 +22,8 @@
 _MIN_PROBE_DELAY: Seconds = 0.25
 _MAX_PROBE_DELAY: Seconds = 2
 _MAX_DOUBLINGS = 5
+# With fewer upstreams in use, unreachable ones say little of this VM's paths.
+_MIN_UPSTREAMS = 4
 
 _log = getLogger('upstreams')
 
@@ -144,6 +147,27 @@
         if state is not None and state.pool is pool:
             self._on_ended(state.upstream)
 
+    def on_path_lost(self, pool: UpstreamPool) -> None:
+        """Find out whether the upstream can still be reached."""
+        state = self._state_by_id.get(pool.upstream_id)
+        if state is not None and state.pool is pool:
+            self.check(pool.upstream_id)
+
+    def unreachable_fraction(self) -> float:
+        """Return the part of the upstreams in use that can't be reached.
+
+        It is 0 if this VM has used too few of them to tell.
+        """
+        used = [
+            state.upstream
+            for state in self._state_by_id.values()
+            if state.upstream.record.service != AGGREGATOR_SERVICE
+        ]
+        unreachable = sum(one.health.is_unreachable for one in used)
+        if len(used) < _MIN_UPSTREAMS:
+            return 0
+        return unreachable / len(used)
+
     def check(self, upstream_id: UpstreamId) -> None:
         """Find out whether an upstream's process has ended."""
         state = self._state_by_id.get(upstream_id)
--- a/src/sesametrack/routing/admission.py
+++ b/src/sesametrack/routing/admission.py
@@ -109,6 +109,11 @@
         """Refuse the request, of which nothing has been sent."""
         return self._refuse(RETRY_AFTER)
 
+    @property
+    def attempts_left(self) -> int:
+        """Return 0: a request without permits stays here."""
+        return 0
+
     def _refuse(self, retry_after: Seconds) -> list[Action]:
         self.is_done = True
         self.wake_at = NEVER
--- a/src/sesametrack/routing/aggregators.py
+++ b/src/sesametrack/routing/aggregators.py
@@ -85,6 +85,8 @@
         self.vm = vm
         self._domain = domain
         self._peer_by_vm: dict[VmId, Upstream] = {}
+        # VMs of other failure domains are no aggregators.
+        self._remote_by_vm: dict[VmId, Upstream] = {}
         self._grant_address_by_peer: dict[UpstreamId, Address] = {}
         self._groups_by_shards: dict[tuple[ServiceId, ...], list] = {}
         self._divisions = 1
@@ -96,6 +98,7 @@
         Return whether the groups changed, and the link ids of the VMs that
         were removed.
         """
+        removed_remote = self._apply_remote(fleet)
         domain_vms = {
             fleet_vm.vm: fleet_vm
             for fleet_vm in fleet
@@ -134,7 +137,24 @@
         self._grant_address_by_peer = {
             peers[vm].id: domain_vms[vm].grant_address for vm in domain_vms
         }
-        return is_changed, removed
+        return is_changed, removed + removed_remote
+
+    def _apply_remote(self, fleet: list[FleetVm]) -> list[str]:
+        """Replace the VMs of other domains; return the removed link ids."""
+        before = self._remote_by_vm
+        self._remote_by_vm = {}
+        for fleet_vm in fleet:
+            if fleet_vm.failure_domain == self._domain:
+                continue
+            known = before.get(fleet_vm.vm)
+            if known is None or known.record.address != fleet_vm.peer_address:
+                known = _make_upstream(fleet_vm)
+            self._remote_by_vm[fleet_vm.vm] = known
+        return [
+            peer.id
+            for vm, peer in before.items()
+            if self._remote_by_vm.get(vm) is not peer
+        ]
 
     def groups(self, shards: tuple[ServiceId, ...]) -> list[ShardGroup]:
         """Return the groups of a gather, empty if it is sent directly."""
@@ -148,7 +168,7 @@
 
     def peer(self, vm: VmId) -> Upstream | None:
         """Return the send target of another VM, None if it is not live."""
-        return self._peer_by_vm.get(vm)
+        return self._peer_by_vm.get(vm) or self._remote_by_vm.get(vm)
 
     def grant_address(self, peer_id: UpstreamId) -> Address:
         """Return where another VM receives grants, empty if it takes none."""
--- a/src/sesametrack/routing/canaries.py
+++ b/src/sesametrack/routing/canaries.py
@@ -128,6 +128,11 @@
         """Answer with the failure so far."""
         return self._process(self._trial.give_up(now))
 
+    @property
+    def attempts_left(self) -> int:
+        """Return 0: a suspect has one attempt."""
+        return 0
+
     def _process(self, actions: list[Action]) -> list[Action]:
         """Replace the answer of a successful trial by the gather."""
         processed: list[Action] = []
--- a/src/sesametrack/routing/events.py
+++ b/src/sesametrack/routing/events.py
@@ -117,7 +117,8 @@
 class Send:
     """Send the request to an upstream, which must reply by `deadline`.
 
-    With a `subgather` the upstream is an aggregator. After `write_by`, the end
+    With a `subgather` the upstream is an aggregator, in a handover the VM that
+    is to answer the request. After `write_by`, the end
     of the permit for it, the request must not be written any more.
     """
 
@@ -128,6 +129,13 @@
     reason: str
     subgather: Subgather | None = None
     write_by: Instant = float('inf')
+    # Upstreams of each service to which the request may go in a handover.
+    handover_attempts: int = 0
+
+    @property
+    def is_to_peer(self) -> bool:
+        """Return whether another VM gets it, which has sends of its own."""
+        return self.subgather is not None or self.handover_attempts > 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sesametrack/routing/exchanges.py
+++ b/src/sesametrack/routing/exchanges.py
@@ -87,6 +87,10 @@
     def give_up(self, now: Instant) -> list[Action]:
         """Answer now with what there is; nothing more can be waited for."""
 
+    @property
+    def attempts_left(self) -> int:
+        """Return to how many further upstreams of each service it may go."""
+
 
 def exchange_deadline(request: CallerRequest, route: Route) -> Instant:
     """Return the instant by which the caller must have its answer."""
@@ -189,6 +193,11 @@
         """Answer with the failure so far."""
         return self._deliver(self._answer(now))
 
+    @property
+    def attempts_left(self) -> int:
+        """Return to how many further upstreams the request may go."""
+        return max(0, self._call.route.max_attempts - len(self._call.tried))
+
     def _answer_if_done(
         self, actions: list[Action], now: Instant
     ) -> list[Action]:
@@ -421,6 +430,12 @@
             if call.reply is None
         }
 
+    @property
+    def attempts_left(self) -> int:
+        """Return to how many further upstreams of each shard it may go."""
+        tried = max(len(call.tried) for call in self._calls)
+        return max(0, self._route.max_attempts - tried)
+
     @property
     def may_have_run(self) -> bool:
         """Return whether an upstream may have run the request."""
--- a/src/sesametrack/routing/shard_groups.py
+++ b/src/sesametrack/routing/shard_groups.py
@@ -7,6 +7,7 @@
     Seconds,
     ServiceId,
     UpstreamId,
+    VmId,
 )
 from sesametrack.routing.aggregators import Aggregators, ShardGroup
 from sesametrack.routing.directory import Upstream
@@ -58,6 +59,10 @@
     tried_by_shard: dict[ServiceId, list[UpstreamId]] = field(
         default_factory=dict
     )
+    # Whether an aggregator has refused the group, and the VMs of other failure
+    # domains that were asked instead.
+    was_refused: bool = False
+    remote_tried: set[VmId] = field(default_factory=set)
     answer: MergedAnswer | None = None
     is_finished: bool = False
     wake_at: Instant = NEVER
--- a/src/sesametrack/routing/wide_gather.py
+++ b/src/sesametrack/routing/wide_gather.py
@@ -12,6 +12,7 @@
 from sesametrack.routing.calls import CRASHING, CallContext
 from sesametrack.routing.canaries import QUARANTINED
 from sesametrack.routing.desired_state import Route, TopKMerge
+from sesametrack.routing.directory import Upstream
 from sesametrack.routing.events import (
     Action,
     CallerRequest,
@@ -39,6 +40,7 @@
     is_servable,
     to_merged_answer,
 )
+from sesametrack.routing.handover import UNREACHABLE_REASONS, HandoverTargets
 from sesametrack.routing.merge import merge_top_records
 from sesametrack.routing.shard_groups import (
     ACK_TIMEOUT,
@@ -70,9 +72,12 @@
 _FINAL_REASONS = frozenset(
     (_AGGREGATOR_LOST, _NO_ATTEMPTS_LEFT, CRASHING, QUARANTINED)
 )
-_UNREACHABLE_REASONS = frozenset(('no-upstream', 'shards-unreachable'))
 # An aggregator must stop this long after its cut-off: this VM then takes over.
 _DEADLINE_GRACE: Seconds = 0.02
+# A VM that reaches less than this part of a group's shards leaves it to others.
+_MIN_REACH = 0.75
+# VMs of other failure domains that get a group, one after the other.
+_MAX_REMOTE_TRIES = 2
 
 
 class WideGatherExchange:
@@ -97,13 +102,18 @@
         aggregators: Aggregators,
         groups: list[ShardGroup],
         fingerprint: Fingerprint = '',
+        targets: HandoverTargets | None = None,
     ) -> None:
-        """Prepare a gather over these groups of the route's shards."""
+        """Prepare a gather over these groups of the route's shards.
+
+        The `targets` are VMs that may reach what the aggregators don't.
+        """
         self.deadline = exchange_deadline(request, route)
         self.is_done = False
         self.wake_at: Instant = NEVER
         self._request = request
         self._fingerprint = fingerprint
+        self._targets = targets
         self._route = route
         self._context = context
         self._answer_deadline = self.deadline - ANSWER_RESERVE
@@ -165,6 +175,7 @@
             group.finish(reply.merged)
             self._record_unreachable(reply.merged, now)
             return self._answer_if_done([], now)
+        group.was_refused = True
         return self._answer_if_done(self._replace(group, 'refused', now), now)
 
     def on_failure(
@@ -208,6 +219,11 @@
             return self._deliver(self._merge())
         return self._deliver(self._answer_failure(now))
 
+    @property
+    def attempts_left(self) -> int:
+        """Return 0: aggregators may have used them all."""
+        return 0
+
     def missing_shards(self) -> dict[str, str]:
         """Return the shards without a reply, each with the reason."""
         missing: dict[str, str] = {}
@@ -224,33 +240,67 @@
         if not group.attempts_left:
             group.finish_without_replies(_NO_ATTEMPTS_LEFT)
             return []
+        aggregator = self._next_aggregator(group, now)
+        if aggregator is None:
+            return self._send_directly(group, now)
+        attempt_id = self._context.next_attempt_id()
+        attempts = group.delegate(attempt_id, aggregator, now)
+        self._group_by_attempt[attempt_id] = group
+        aggregator.health.start_attempt(attempt_id, now)
+        return [
+            Send(
+                attempt_id,
+                aggregator,
+                min(self.deadline, self._round_cutoff + _DEADLINE_GRACE),
+                group.shards[0],
+                'aggregate',
+                Subgather(
+                    group.shards,
+                    self._round_cutoff,
+                    group.may_have_run,
+                    attempts,
+                    group.tried_by_shard,
+                ),
+            )
+        ]
+
+    def _next_aggregator(
+        self, group: GroupGather, now: Instant
+    ) -> Upstream | None:
+        """Return the next VM to delegate a group to, None for this one."""
         while group.candidates:
             aggregator = group.candidates.pop(0)
             if aggregator is None:
                 break
-            if aggregator.health.is_ejected(now):
-                continue
-            attempt_id = self._context.next_attempt_id()
-            attempts = group.delegate(attempt_id, aggregator, now)
-            self._group_by_attempt[attempt_id] = group
-            aggregator.health.start_attempt(attempt_id, now)
-            return [
-                Send(
-                    attempt_id,
-                    aggregator,
-                    min(self.deadline, self._round_cutoff + _DEADLINE_GRACE),
-                    group.shards[0],
-                    'aggregate',
-                    Subgather(
-                        group.shards,
-                        self._round_cutoff,
-                        group.may_have_run,
-                        attempts,
-                        group.tried_by_shard,
-                    ),
-                )
-            ]
-        return self._send_directly(group, now)
+            if not aggregator.health.is_ejected(now):
+                return aggregator
+        if group.was_refused or self._is_out_of_reach(group):
+            return self._choose_remote(group, now)
+        return None
+
+    def _is_out_of_reach(self, group: GroupGather) -> bool:
+        """Return whether this VM reaches too few of a group's shards."""
+        directory = self._context.directory
+        reachable = sum(
+            any(
+                not upstream.health.is_unreachable
+                for upstream in directory.usable(shard)
+            )
+            for shard in group.shards
+        )
+        return reachable < len(group.shards) * _MIN_REACH
+
+    def _choose_remote(
+        self, group: GroupGather, now: Instant
+    ) -> Upstream | None:
+        """Return a VM of another failure domain, None after some of them."""
+        tried = group.remote_tried
+        if self._targets is None or len(tried) >= _MAX_REMOTE_TRIES:
+            return None
+        peer = self._targets.choose(self._route, tried, now, is_remote=True)
+        if peer is not None:
+            tried.add(peer.id.removeprefix('vm/'))
+        return peer
 
     def _send_directly(self, group: GroupGather, now: Instant) -> list[Action]:
         group.candidates = []
@@ -383,9 +433,10 @@
         lost = [
             service
             for service, reason in merged.missing.items()
-            if reason in _UNREACHABLE_REASONS
+            if reason in UNREACHABLE_REASONS
         ]
-        if lost:
+        # An aggregator that reaches hardly any shard has lost its own paths.
+        if lost and len(lost) < len(merged.digest_by_shard):
             self._context.directory.mark_unreachable_from_peers(lost, now)
 
     def _answer_if_done(
@@ -426,7 +477,7 @@
                 continue
             group = GroupGather(
                 tuple(other.answer.missing),
-                [] if self._rounds == _MAX_ROUNDS else other.candidates,
+                self._next_candidates(other, now),
                 self._route.max_attempts,
                 may_have_run=other.may_have_run_anywhere,
                 unreported_attempts=other.unreported_attempts,
@@ -437,6 +488,20 @@
             actions.extend(self._send_to_next(group, now))
         return actions
 
+    def _next_candidates(
+        self, group: GroupGather, now: Instant
+    ) -> list[Upstream | None]:
+        """Return which VMs get a group's missing shards in the next round."""
+        lost = sum(
+            reason in UNREACHABLE_REASONS
+            for reason in group.answer.missing.values()
+        )
+        if lost > len(group.answer.digest_by_shard):
+            remote = self._choose_remote(group, now)
+            if remote is not None:
+                return [remote]
+        return [] if self._rounds == _MAX_ROUNDS else group.candidates
+
     def _schedule(self, now: Instant) -> None:
         wake_at = min(group.wake_at for group in self._groups)
         if now < self._deadlines.cutoff:
--- a/tests/test_exchange_driver.py
+++ b/tests/test_exchange_driver.py
@@ -77,6 +77,7 @@
             lambda peer_id, grant: grants.append(grant),
             lambda request, callback: None,
             lambda service: None,
+            lambda active_request, answer, now: None,
         ),
         CrashWatch(CrashLedger(), Metrics(None, '')),
         Metrics(None, ''),
