Take no entry whose address is not an IP and a port

What callers saw: a searcher's entry of another writer with a port of 70000 was used; opening the connection raised OverflowError, which nothing caught, and the caller's connection closed without an answer.

Cause: an address was checked for digits after its colon only. Change: is_address checks the range of the port, for searchers' entries, VMs' entries and settings; datagrams to anything else are dropped with a warning. Conclusion: the class is an entry of others that is believed; fixed where addresses come from the store.

--- a/src/sesametrack/contracts/settings.py
+++ b/src/sesametrack/contracts/settings.py
@@ -9,7 +9,9 @@
 from sesametrack.contracts.exceptions import SettingsError
 from sesametrack.contracts.types import Address
 
-_Port = Annotated[int, Meta(ge=1, le=65535)]
+_MAX_PORT = 65535
+_PORT_DIGITS = 5
+_Port = Annotated[int, Meta(ge=1, le=_MAX_PORT)]
 _Name = Annotated[str, Meta(pattern='^[a-z0-9][a-z0-9._-]{0,63}$')]
 _Bytes = Annotated[int, Meta(ge=1, le=64 * 1024 * 1024)]
 _Count = Annotated[int, Meta(ge=1, le=100_000)]
@@ -122,10 +124,27 @@
     """Raise SettingsError unless the text has the form 'IP:port'."""
     host, _, port = address.rpartition(':')
     check_ip(host, path, source)
-    if not port.isdigit():
+    if not _is_port(port):
         raise SettingsError(source, path, 'needs a port', address)
 
 
+def is_address(text: str) -> bool:
+    """Return whether a text has the form 'IP:port'."""
+    host, _, port = text.rpartition(':')
+    try:
+        ip_address(host)
+    except ValueError:
+        return False
+    return _is_port(port)
+
+
+def _is_port(text: str) -> bool:
+    is_number = text.isascii() and text.isdecimal()
+    return (
+        is_number and len(text) <= _PORT_DIGITS and 1 <= int(text) <= _MAX_PORT
+    )
+
+
 def _check_ports(settings: Settings, source: str) -> None:
     path_by_port = {settings.entry.caller_port: '$.entry.caller_port'}
     daemons = {'entry': settings.entry.ports, 'gate': settings.gate.ports}
--- a/src/sesametrack/links/datagrams.py
+++ b/src/sesametrack/links/datagrams.py
@@ -9,7 +9,7 @@
 from msgspec.msgpack import Decoder, Encoder
 
 from sesametrack.contracts.members import GossipMessage
-from sesametrack.contracts.settings import split_address
+from sesametrack.contracts.settings import is_address, split_address
 from sesametrack.contracts.types import Address
 
 MessageHandler = Callable[[Any, Address], None]
@@ -47,7 +47,13 @@
             self._transport.close()
 
     def send(self, address: Address, message: Struct) -> None:
-        """Send a message; delivery is not guaranteed."""
+        """Send a message; delivery is not guaranteed.
+
+        Other writers may have put what is no address into the store.
+        """
+        if not is_address(address):
+            _log.warning('cannot send to %r', address)
+            return
         datagram = self._encoder.encode(message)
         self.sent_bytes += len(datagram)
         if self._transport is not None:
--- a/src/sesametrack/platform/decoding.py
+++ b/src/sesametrack/platform/decoding.py
@@ -1,6 +1,5 @@
 """Decoding of the store's objects into the routing types."""
 
-from ipaddress import ip_address
 from logging import getLogger
 from re import compile as compile_pattern
 from typing import Annotated, Any
@@ -9,6 +8,7 @@
 
 from sesametrack.contracts.decoding import convert_decoded
 from sesametrack.contracts.exceptions import InputError
+from sesametrack.contracts.settings import is_address
 from sesametrack.platform.store import StoreObject
 from sesametrack.routing.desired_state import (
     ClientLimits,
@@ -132,10 +132,12 @@
     """Return an upstream's record; log an invalid entry and return None."""
     try:
         entry = convert(store_object.spec, _Upstream)
-        _check_address(entry.address)
-    except (ValidationError, ValueError) as error:
+    except ValidationError as error:
         _log_refused_entry(store_object, str(error))
         return None
+    if not is_address(entry.address):
+        _log_refused_entry(store_object, 'its address is not an IP and a port')
+        return None
     if not _UPSTREAM_ID_PATTERN.fullmatch(store_object.meta.name):
         # The id is sent as a header value in every request.
         _log_refused_entry(store_object, 'the id is not printable')
@@ -207,13 +209,6 @@
     )
 
 
-def _check_address(address: str) -> None:
-    host, _, port = address.rpartition(':')
-    ip_address(host)
-    if not port.isdigit():
-        raise ValueError(f'{address!r} has no port')
-
-
 def _log_refused_entry(store_object: StoreObject, problem: str) -> None:
     log_event(
         _log,
--- a/src/sesametrack/platform/registration.py
+++ b/src/sesametrack/platform/registration.py
@@ -13,8 +13,12 @@
     ObjectMissingError,
     PlatformError,
 )
+from sesametrack.contracts.settings import is_address
 from sesametrack.contracts.types import Address, Instant, Seconds, VmId
-from sesametrack.platform.store import StoreConnection, StoreObject
+from sesametrack.platform.store import (
+    StoreObject,
+    StoreConnection,
+)
 from sesametrack.telemetry.structured_log import log_event
 from sesametrack.vms.fleet_count import FleetCount
 from sesametrack.vms.watchers import FleetVm
@@ -208,13 +212,31 @@
 
 
 def _decode_entry(store_object: StoreObject) -> _Entry | None:
+    problem = 'an address is not an IP and a port'
     try:
-        return convert(store_object.spec, _Entry)
+        entry = convert(store_object.spec, _Entry)
     except ValidationError as error:
-        log_event(
-            _log,
-            'vm-entry-refused',
-            entry=store_object.meta.name,
-            problem=str(error),
-        )
-        return None
+        problem = str(error)
+    else:
+        if _has_addresses(entry):
+            return entry
+    log_event(
+        _log,
+        'vm-entry-refused',
+        entry=store_object.meta.name,
+        problem=problem,
+    )
+    return None
+
+
+def _has_addresses(entry: _Entry) -> bool:
+    """Return whether messages can be sent to all that the entry names."""
+    required = (entry.peer_address, entry.relay_address)
+    optional = (
+        entry.grant_address,
+        entry.permit_address,
+        entry.budget_address,
+    )
+    return all(is_address(one) for one in required) and all(
+        not one or is_address(one) for one in optional
+    )
