Read the other objects of a page of which one is unreadable

What callers saw: while an entry with a number out of range, a lone surrogate or very deep nesting stood among those of the searchers, routers that started answered 503 to everything, and others learnt of no searcher any more.

Cause: a page was decoded as a whole; one object that failed took all with it, and RecursionError was not caught at all. The class: one bad item makes a batch of others' unreadable. Desired state, VMs' entries, leases and what relays hand on come through the same decoder; hints and permits are single messages of one sender.

Change: platform/pages.py splits a page that fails without recursion and decodes each object alone; one that can't be decoded keeps its name, without content.

--- a/src/sesametrack/platform/coordinator_lease.py
+++ b/src/sesametrack/platform/coordinator_lease.py
@@ -15,7 +15,8 @@
     StoreRestoredError,
 )
 from sesametrack.contracts.types import Address, Instant, Seconds, VmId
-from sesametrack.platform.store import StoreConnection, StoreObject
+from sesametrack.platform.pages import StoreObject
+from sesametrack.platform.store import StoreConnection
 from sesametrack.telemetry.structured_log import log_event
 from sesametrack.vms.coordinator import (
     IDLE_TIME,
--- a/src/sesametrack/platform/decoding.py
+++ b/src/sesametrack/platform/decoding.py
@@ -9,7 +9,7 @@
 from sesametrack.contracts.decoding import convert_decoded
 from sesametrack.contracts.exceptions import InputError
 from sesametrack.contracts.settings import is_address
-from sesametrack.platform.store import StoreObject
+from sesametrack.platform.pages import StoreObject
 from sesametrack.routing.desired_state import (
     ClientLimits,
     DesiredState,
--- a/src/sesametrack/platform/object_watcher.py
+++ b/src/sesametrack/platform/object_watcher.py
@@ -24,8 +24,11 @@
     decode_desired_state,
     decode_upstream,
 )
+from sesametrack.platform.pages import ChangeBatch, StoreObject
 from sesametrack.platform.relay import Relay
-from sesametrack.platform.store import ChangeBatch, StoreConnection, StoreObject
+from sesametrack.platform.store import (
+    StoreConnection,
+)
 from sesametrack.routing.desired_state import DesiredState
 from sesametrack.routing.directory import UpstreamRecord
 from sesametrack.telemetry.structured_log import log_event
--- a/src/sesametrack/platform/registration.py
+++ b/src/sesametrack/platform/registration.py
@@ -15,8 +15,8 @@
 )
 from sesametrack.contracts.settings import is_address
 from sesametrack.contracts.types import Address, Instant, Seconds, VmId
+from sesametrack.platform.pages import StoreObject
 from sesametrack.platform.store import (
-    StoreObject,
     StoreConnection,
 )
 from sesametrack.telemetry.structured_log import log_event
--- a/src/sesametrack/platform/relay.py
+++ b/src/sesametrack/platform/relay.py
@@ -20,12 +20,10 @@
 from sesametrack.contracts.types import Address, Instant, Seconds
 from sesametrack.links.http import HttpRequest, HttpResponse
 from sesametrack.links.http_server import HttpServer
+from sesametrack.platform.pages import Change, ChangeBatch, StoreObject
 from sesametrack.platform.store import (
     ERA_HEADER,
     RELAY_CODING,
-    Change,
-    ChangeBatch,
-    StoreObject,
 )
 
 _PREFIX = '/sesametrack/objects/'
--- a/src/sesametrack/platform/store.py
+++ b/src/sesametrack/platform/store.py
@@ -1,13 +1,13 @@
 """Client of the platform's object store."""
 
-from collections.abc import AsyncIterator
-from typing import Any
+from collections.abc import AsyncIterator, Callable
+from typing import Any, TypeVar
 from urllib.parse import quote, urlencode
 from zlib import decompressobj
 from zlib import error as CompressionError
 
-from msgspec import DecodeError, Struct, ValidationError, field
-from msgspec.json import Decoder, encode
+from msgspec import DecodeError
+from msgspec.json import encode
 
 from sesametrack.contracts.exceptions import (
     ConflictError,
@@ -21,6 +21,14 @@
 from sesametrack.contracts.types import Address, Seconds
 from sesametrack.links.http import HttpRequest, HttpResponse
 from sesametrack.links.http_client import MAX_RESPONSE_BYTES, HttpConnection
+from sesametrack.platform.pages import (
+    ChangeBatch,
+    Page,
+    StoreObject,
+    decode_batch,
+    decode_object,
+    decode_page,
+)
 
 _PATH = '/sesametrack/objects'
 # The store replies within milliseconds; if it is slowed down about 60 times,
@@ -43,46 +51,7 @@
 _FIRST_SERVER_ERROR = 500
 _UNAVAILABLE = 503
 
-
-class ObjectMeta(Struct):
-    """Name and revision of an object."""
-
-    name: str
-    # Revision of the last change. All objects of the store share one counter.
-    rev: int = 0
-    deleting: bool = False
-
-
-class StoreObject(Struct):
-    """An object of any kind; the type of `spec` depends on the kind."""
-
-    meta: ObjectMeta
-    spec: Any = None
-
-
-class _Page(Struct):
-    objects: list[StoreObject] = field(name='items')
-    store_revision: int = 0
-    has_more: bool = False
-
-
-class Change(Struct):
-    """A created, changed or deleted object."""
-
-    object: StoreObject
-    deleted: bool = False
-
-
-class ChangeBatch(Struct):
-    """Changes of one kind of object up to a revision of the store."""
-
-    events: list[Change]
-    store_revision: int
-
-
-_page_decoder = Decoder(_Page)
-_batch_decoder = Decoder(ChangeBatch)
-_object_decoder = Decoder(StoreObject)
+_Decoded = TypeVar('_Decoded')
 
 
 class StoreConnection:
@@ -145,7 +114,7 @@
         query = {'watch': after, 'wait_ms': int(wait * _MS_PER_S)}
         reply = await self._read(kind, query, wait + _WATCH_TIMEOUT_MARGIN)
         self._require_listed_era(kind)
-        return self._decode(_batch_decoder, reply)
+        return self._decode(decode_batch, reply)
 
     async def create(self, kind: str, name: str, spec: Any) -> int:
         """Create an object and return its revision.
@@ -179,15 +148,13 @@
         if reply.status != _NOT_FOUND:
             self._require_success(reply)
 
-    async def _pages(
-        self, kind: str, allow_stale: bool
-    ) -> AsyncIterator[_Page]:
+    async def _pages(self, kind: str, allow_stale: bool) -> AsyncIterator[Page]:
         query: dict[str, str | int] = {}
         if allow_stale:
             query['allow_stale'] = 1
         while True:
             reply = await self._read(kind, query, _CALL_TIMEOUT)
-            page = self._decode(_page_decoder, reply)
+            page = self._decode(decode_page, reply)
             yield page
             if not page.has_more or not page.objects:
                 return
@@ -225,7 +192,7 @@
         if reply.status >= _FIRST_SERVER_ERROR and reply.status != _UNAVAILABLE:
             raise PlatformLostReplyError(f'{path}: status {reply.status}')
         self._require_success(reply)
-        return self._decode(_object_decoder, reply).meta.rev
+        return self._decode(decode_object, reply).meta.rev
 
     async def _exchange(
         self, request: HttpRequest, timeout: Seconds = _CALL_TIMEOUT
@@ -266,10 +233,12 @@
             self.close()
             raise PlatformUnavailableError(f'status {reply.status}')
 
-    def _decode(self, decoder: Decoder, reply: HttpResponse) -> Any:
+    def _decode(
+        self, decode: Callable[[bytes], _Decoded], reply: HttpResponse
+    ) -> _Decoded:
         try:
-            return decoder.decode(_read_body(reply))
-        except (DecodeError, ValidationError, CompressionError) as error:
+            return decode(_read_body(reply))
+        except (DecodeError, CompressionError) as error:
             self.close()
             raise PlatformUnavailableError(f'unreadable: {error}') from error
 
--- a/tests/router_fleet.py
+++ b/tests/router_fleet.py
@@ -2,6 +2,7 @@
 
 from asyncio import gather, get_running_loop, sleep
 from dataclasses import dataclass, field
+from typing import Any
 
 from msgspec import to_builtins
 
@@ -85,6 +86,8 @@
     routers: list[Router] = field(default_factory=list)
     # Each VM's paths to the searchers.
     paths: list[CuttableLoop] = field(default_factory=list)
+    # Entries among those of the searchers, written before the routers start.
+    first_entries: dict[str, Any] = field(default_factory=dict)
     answers: list[Answered] = field(default_factory=list)
     _request_count: int = 0
 
@@ -102,6 +105,8 @@
         self.store = ObjectStoreStandin(self.host, _STORE_PORT)
         await self.store.start()
         await self._start_searchers()
+        for name, spec in self.first_entries.items():
+            await self.store.put('servers', name, spec)
         await self.store.put('config', 'main', make_state(self.shards))
         # Without a former lease the first coordinator would wait until the
         # store can't have lost one in a restore.
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -17,15 +17,17 @@
     RELAY_MAX_STALENESS,
     ObjectWatcher,
 )
-from sesametrack.platform.relay import Relay
-from sesametrack.platform.store import (
-    RELAY_CODING,
+from sesametrack.platform.pages import (
     Change,
     ChangeBatch,
     ObjectMeta,
-    StoreConnection,
     StoreObject,
 )
+from sesametrack.platform.relay import Relay
+from sesametrack.platform.store import (
+    RELAY_CODING,
+    StoreConnection,
+)
 from sesametrack.vms.watchers import (
     SMALL_DOMAIN_VMS,
     WATCHERS_PER_DOMAIN,
