Move what serves other VMs out of the forwarder

Change: programs/peer_requests.py has groups of gathers and handed-on requests of other VMs; no change of behaviour. Measured: tests of stranded VMs, wide paths and routers pass.

--- a/src/sesametrack/programs/forwarder.py
+++ b/src/sesametrack/programs/forwarder.py
@@ -2,13 +2,12 @@
 
 from asyncio import AbstractEventLoop
 from collections.abc import Callable
-from dataclasses import replace
 from functools import partial
 from itertools import count
 from logging import getLogger
 from random import Random
 
-from sesametrack.contracts.exceptions import ProtocolError, RequestError
+from sesametrack.contracts.exceptions import RequestError
 from sesametrack.contracts.subgathers import AttemptGrant
 from sesametrack.contracts.types import (
     Address,
@@ -26,16 +25,8 @@
     OutgoingResponse,
 )
 from sesametrack.links.handovers import (
-    HANDOVER_PATH,
-    decode_handover,
     encode_handover_reply,
 )
-from sesametrack.links.subgathers import (
-    decode_subgather_request,
-    encode_missing_shards,
-    encode_subgather_refusal,
-    encode_subgather_reply,
-)
 from sesametrack.platform.headers import (
     build_bad_request_response,
     build_caller_response,
@@ -50,6 +41,7 @@
     PermitRequester,
     Readiness,
 )
+from sesametrack.programs.peer_requests import PeerRequests
 from sesametrack.programs.permit_exchange import PermitCallback
 from sesametrack.routing.admission import admit
 from sesametrack.routing.aggregators import AGGREGATOR_SERVICE, Aggregators
@@ -110,10 +102,8 @@
 _NO_STATE_RETRY_AFTER: Seconds = 0.1
 # Other VMs can serve what this one refuses because it shuts down.
 _STOPPING_RETRY_AFTER: Seconds = 0.02
-# A VM that can't reach this part of its upstreams may have lost paths of its
-# own. One that can't reach nearly all of them takes no work of other VMs.
+# A VM that can't reach this part of its upstreams may have lost its own paths.
 _DOUBTFUL_FRACTION = 0.4
-_CUT_OFF_FRACTION = 0.75
 
 _log = getLogger('forwarder')
 
@@ -180,6 +170,15 @@
             now,
         )
         self._pools = self._driver.pools
+        self.peer_requests = PeerRequests(
+            self.routes,
+            self._context,
+            self._driver,
+            self.readiness,
+            self._start_request,
+            metrics,
+            now,
+        )
         self._permit_requester: PermitRequester | None = None
         self._extra_send_borrower: Callable[[ServiceId], None] | None = None
         self._last_used_at_by_route: dict[str, Instant] = {}
@@ -394,58 +393,6 @@
             partial(build_caller_response, request_id=request.id),
         )
 
-    def on_peer_request(
-        self, connection: CallerConnection, incoming: IncomingRequest
-    ) -> None:
-        """Handle a request of another VM."""
-        if incoming.target == HANDOVER_PATH:
-            self._on_handover(connection, incoming)
-        else:
-            self.on_subgather(connection, incoming)
-
-    def _on_handover(
-        self, connection: CallerConnection, incoming: IncomingRequest
-    ) -> None:
-        """Answer a caller's request that another VM can't serve."""
-        try:
-            request, max_attempts = decode_handover(incoming)
-        except ProtocolError as error:
-            log_event(_log, 'handover-refused', 30, problem=str(error))
-            connection.respond(
-                encode_subgather_refusal(str(error)), is_last=True
-            )
-            return
-        route = None
-        if self.routes.state is not None and self.directory.has_listing:
-            route = self.routes.find(request.host, request.path)
-        if route is None or not self._may_take_work:
-            self._metrics.count('handovers.refused')
-            log_event(_log, 'handover-refused', request_id=request.id)
-            connection.respond(
-                encode_subgather_refusal('not-ready'),
-                is_last=self.readiness.is_stopping,
-            )
-            return
-        self._metrics.count('handovers.taken')
-        connection.send_processing()
-        self._start_request(
-            connection,
-            request,
-            replace(route, max_attempts=min(route.max_attempts, max_attempts)),
-            partial(_encode_handover_answer, request_id=request.id),
-            is_handed_over=True,
-        )
-
-    @property
-    def _may_take_work(self) -> bool:
-        """Return whether other VMs may rely on this one."""
-        return (
-            not self.readiness.is_stopping
-            and self.directory.has_listing
-            and self._driver.pace.may_take_work(self._now())
-            and self._pools.unreachable_fraction() < _CUT_OFF_FRACTION
-        )
-
     def _hand_over(
         self, active_request: ActiveRequest, answer: Answer, now: Instant
     ) -> Exchange | None:
@@ -479,76 +426,6 @@
             attempts,
         )
 
-    def on_subgather(
-        self, connection: CallerConnection, incoming: IncomingRequest
-    ) -> None:
-        """Gather from the shards that another VM assigned to this one."""
-        try:
-            subgather = decode_subgather_request(incoming)
-        except ProtocolError as error:
-            log_event(_log, 'subgather-refused', 30, problem=str(error))
-            connection.respond(
-                encode_subgather_refusal(str(error)), is_last=True
-            )
-            return
-        if not self._may_take_work:
-            log_event(
-                _log,
-                'subgather-refused',
-                request_id=subgather.request.id,
-                is_stopping=self.readiness.is_stopping,
-                is_slow=not self._driver.pace.may_take_work(self._now()),
-                unreachable=round(self._pools.unreachable_fraction(), 2),
-            )
-            connection.respond(
-                encode_subgather_refusal('not-ready'),
-                is_last=self.readiness.is_stopping,
-            )
-            return
-        mark = fingerprint(subgather.request)
-        if not self.ledger.may_retry(mark, self._now()):
-            connection.respond(
-                encode_missing_shards(subgather.route.shards, QUARANTINED),
-                is_last=False,
-            )
-            return
-        connection.send_processing()
-        exchange = GatherExchange(
-            subgather.request,
-            subgather.route,
-            self._context,
-            subgather.deadlines,
-            attempts=subgather.attempts,
-            is_retry=subgather.may_have_run,
-            tried_by_shard=subgather.tried_by_shard,
-            fingerprint=mark,
-        )
-        self._metrics.count('subgathers.started')
-        self._driver.start_request(
-            ActiveRequest(
-                subgather.request,
-                subgather.route,
-                exchange,
-                connection,
-                self.routes.version,
-                partial(encode_subgather_reply, exchange=exchange),
-                mark,
-                is_subgather=True,
-                grant_id=subgather.grant_id,
-                log_details={
-                    # The time that a message takes is not included, as VMs
-                    # have no common clock.
-                    'sent_at_age_ms': round(
-                        subgather.age_when_sent * _MS_PER_SECOND, 1
-                    ),
-                    'queued_ms': round(
-                        (self._now() - incoming.arrived_at) * _MS_PER_SECOND, 1
-                    ),
-                    'max_attempts': subgather.route.max_attempts,
-                },
-            )
-        )
-
     def report_limit_news(
         self, upstream: Upstream, before: float | None
     ) -> None:
--- a/src/sesametrack/programs/router.py
+++ b/src/sesametrack/programs/router.py
@@ -161,7 +161,7 @@
             port,
             self._loop,
             steady_time,
-            self._forwarder.on_peer_request,
+            self._forwarder.peer_requests.on_request,
             self._forwarder.on_caller_disconnected,
             self._forwarder.on_request_refused,
         )
