Tell other VMs of old suspects no more

Cause: each heartbeat would have told all suspects of five minutes, about 8 KB a second a VM after many crashes; most suspects were in flight beside something else and never come again. Change: suspects are told for 10 s after a change, quarantines each 5 s until they end.

--- a/src/sesametrack/programs/hint_exchange.py
+++ b/src/sesametrack/programs/hint_exchange.py
@@ -38,6 +38,8 @@
 _MAX_ROUTES = 24
 # Keeps a datagram, at about 170 bytes per request, below the smallest MTU.
 _MAX_CRASHES = 6
+# Interval at which they are told while nothing changes.
+_CRASHES_INTERVAL: Seconds = 5
 # For this long after its start a VM asks others for what they know, since they
 # may not know of it yet.
 _STARTING_TIME: Seconds = 5
@@ -76,6 +78,7 @@
         self.is_ready = False
         self.unservable_routes: list[str] = []
         self._last_sent_at: Instant = float('-inf')
+        self._crashes_told_at: Instant = float('-inf')
         self._vm = vm
         self._domain = domain
         self._directory = shared.directory
@@ -106,16 +109,18 @@
         hints = collect_hints(self._directory, now)
         is_heartbeat_due = now >= self._last_sent_at + _HEARTBEAT_INTERVAL
         if self.peers:
-            self._tell_crashes(now, is_heartbeat_due=is_heartbeat_due)
+            self._tell_crashes(now)
         if self.peers and (hints or is_heartbeat_due or self.unservable_routes):
             self._last_sent_at = now
             self._send_to_peers(self._make_message(hints, now))
         self._timer = self._loop.call_later(_HINT_INTERVAL, self._tick)
 
-    def _tell_crashes(self, now: Instant, *, is_heartbeat_due: bool) -> None:
+    def _tell_crashes(self, now: Instant) -> None:
         """Send what the ledger has, often while it changes."""
-        if not is_heartbeat_due and not self._ledger.has_changed(now):
+        is_due = now >= self._crashes_told_at + _CRASHES_INTERVAL
+        if not is_due and not self._ledger.has_changed(now):
             return
+        self._crashes_told_at = now
         crashes = self._ledger.news(_MAX_CRASHES, now)
         if crashes:
             self._send_to_peers(self._make_message([], now, crashes))
--- a/src/sesametrack/routing/crash_ledger.py
+++ b/src/sesametrack/routing/crash_ledger.py
@@ -31,8 +31,10 @@
 # A request that has succeeded so recently is not what ended an upstream.
 _SUCCESS_TIME: Seconds = 10
 _MAX_SUCCESSES = 4096
-# How long a change is told at short intervals.
+# How long a change is told at short intervals, and how long at all unless it
+# is a quarantine.
 _CHANGE_TIME: Seconds = 2
+_NEWS_TIME: Seconds = 10
 # News of one clearance seem later by the time that their messages take.
 _SAME_CLEARANCE_TIME: Seconds = 0.5
 _MAX_RECORDS = 1024
@@ -211,9 +213,18 @@
         )
 
     def news(self, limit: int, now: Instant) -> list[CrashNews]:
-        """Return up to `limit` records; calls in a row return all in turn."""
+        """Return up to `limit` records; calls in a row return all in turn.
+
+        Suspects that nothing was heard of for a while are left out. They were
+        told when they were new, and most of them never come again.
+        """
         self._expire(now)
-        fingerprints = list(self._record_by_fingerprint)
+        fingerprints = [
+            fingerprint
+            for fingerprint, record in self._record_by_fingerprint.items()
+            if record.standing is Standing.quarantined
+            or now < record.changed_at + _NEWS_TIME
+        ]
         if not fingerprints:
             return []
         start = self._position % len(fingerprints)
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -140,6 +140,19 @@
         first.merge(make_ledger(ends).news(1, 5), 5)
         self.assertIs(Standing.clear, first.standing(_REQUEST, 5))
 
+    # Guards against messages that grow with all requests that were ever in
+    # flight at an upstream that ended.
+    def test_old_suspects_are_not_told(self) -> None:
+        """Quarantines are told until they end, suspects for seconds."""
+        ledger = make_ledger(make_sequence(1, first=7), _OTHER)
+        for end in make_sequence(3):
+            ledger.record_end(_REQUEST, end, end.ended_at)
+        told = {item.fingerprint for item in ledger.news(_MANY, 8)}
+        self.assertEqual({_REQUEST, _OTHER}, told)
+        told = {item.fingerprint for item in ledger.news(_MANY, 60)}
+        self.assertEqual({_REQUEST}, told)
+        self.assertIs(Standing.suspect, ledger.standing(_OTHER, 60))
+
     # Guards against a quarantine that is told to a VM which serves the
     # request all the time.
     def test_success_elsewhere_prevails(self) -> None:
