--- a/src/sesametrack/programs/forwarder.py
+++ b/src/sesametrack/programs/forwarder.py
@@ -70,7 +70,7 @@
     gather_deadlines,
     is_listed_but_unreachable,
 )
-from sesametrack.routing.fingerprints import fingerprint
+from sesametrack.routing.fingerprints import compute_fingerprint
 from sesametrack.routing.handover import (
     HandoverExchange,
     HandoverTargets,
@@ -457,20 +457,24 @@
         self._last_used_at_by_route[route.name] = request.arrived_at
         self._metrics.count('requests.started')
         now = self._now()
-        mark = fingerprint(request)
-        standing = self.ledger.standing(mark, now)
+        fingerprint = compute_fingerprint(request)
+        standing = self.ledger.standing(fingerprint, now)
         if standing is Standing.quarantined:
-            left = self.ledger.quarantined_until(mark) - now
+            left = self.ledger.quarantined_until(fingerprint) - now
             refusal = Refusal(QUARANTINED, left)
-            self._refuse(connection, request, refusal, encode_answer, mark)
+            self._refuse(
+                connection, request, refusal, encode_answer, fingerprint
+            )
             return
         if standing is Standing.suspect:
-            exchange = self._create_trial(request, route, mark)
+            exchange = self._create_trial(request, route, fingerprint)
         else:
-            exchange = self._create_exchange(request, route, mark)
+            exchange = self._create_exchange(request, route, fingerprint)
         if exchange is None:
             refusal = refuse_suspect()
-            self._refuse(connection, request, refusal, encode_answer, mark)
+            self._refuse(
+                connection, request, refusal, encode_answer, fingerprint
+            )
             return
         self._driver.start_request(
             ActiveRequest(
@@ -480,32 +484,32 @@
                 connection,
                 self.routes.version,
                 encode_answer,
-                mark,
+                fingerprint,
                 is_handed_over=is_handed_over,
             )
         )
 
     def _create_trial(
-        self, request: CallerRequest, route: Route, mark: Fingerprint
+        self, request: CallerRequest, route: Route, fingerprint: Fingerprint
     ) -> Exchange | None:
         """Return the trial of a suspect, None if it has to wait."""
         if route.shards:
             services = route.shards
-            admitted = self._create_exchange(request, route, mark)
+            admitted = self._create_exchange(request, route, fingerprint)
         else:
             services = (self.routes.choose_service(route),)
             admitted = None
         return try_suspect(
-            request, route, mark, services, admitted, self._context
+            request, route, fingerprint, services, admitted, self._context
         )
 
     def _create_exchange(
-        self, request: CallerRequest, route: Route, mark: Fingerprint
+        self, request: CallerRequest, route: Route, fingerprint: Fingerprint
     ) -> Exchange:
         if not route.shards:
             service = self.routes.choose_service(route)
             single = SingleExchange(
-                request, route, service, self._context, mark
+                request, route, service, self._context, fingerprint
             )
             return self._admit(single, request, route, (service,))
         groups = self.aggregators.groups(route.shards)
@@ -516,12 +520,12 @@
                 self._context,
                 self.aggregators,
                 groups,
-                mark,
+                fingerprint,
                 self._targets,
             )
         times = gather_deadlines(request, route)
         gather = GatherExchange(
-            request, route, self._context, times, fingerprint=mark
+            request, route, self._context, times, fingerprint=fingerprint
         )
         return self._admit(gather, request, route, route.shards)
 
@@ -542,7 +546,7 @@
         request: CallerRequest,
         refusal: Refusal,
         encode_answer: Callable[[Answer], OutgoingResponse] | None = None,
-        mark: Fingerprint = '',
+        fingerprint: Fingerprint = '',
     ) -> None:
         self._metrics.count('answers.refused')
         log_event(
@@ -550,7 +554,7 @@
             'refused',
             request_id=request.id,
             reason=refusal.reason,
-            fingerprint=mark,
+            fingerprint=fingerprint,
         )
         if encode_answer is None:
             encode_answer = partial(
--- a/src/sesametrack/programs/peer_requests.py
+++ b/src/sesametrack/programs/peer_requests.py
@@ -32,7 +32,7 @@
 from sesametrack.routing.desired_state import Route
 from sesametrack.routing.events import Answer, CallerRequest, Refusal
 from sesametrack.routing.exchanges import GatherExchange
-from sesametrack.routing.fingerprints import fingerprint
+from sesametrack.routing.fingerprints import compute_fingerprint
 from sesametrack.routing.routes import RouteTable
 from sesametrack.telemetry.metrics import Metrics
 from sesametrack.telemetry.structured_log import log_event
@@ -162,8 +162,8 @@
                 is_last=self._readiness.is_stopping,
             )
             return
-        mark = fingerprint(subgather.request)
-        if not self._context.ledger.may_retry(mark, self._now()):
+        fingerprint = compute_fingerprint(subgather.request)
+        if not self._context.ledger.may_retry(fingerprint, self._now()):
             connection.respond(
                 encode_missing_shards(subgather.route.shards, QUARANTINED),
                 is_last=False,
@@ -178,7 +178,7 @@
             attempts=subgather.attempts,
             is_retry=subgather.may_have_run,
             tried_by_shard=subgather.tried_by_shard,
-            fingerprint=mark,
+            fingerprint=fingerprint,
         )
         self._metrics.count('subgathers.started')
         self._driver.start_request(
@@ -189,7 +189,7 @@
                 connection,
                 self._routes.version,
                 partial(encode_subgather_reply, exchange=exchange),
-                mark,
+                fingerprint,
                 is_subgather=True,
                 grant_id=subgather.grant_id,
                 log_details={
--- a/src/sesametrack/routing/fingerprints.py
+++ b/src/sesametrack/routing/fingerprints.py
@@ -10,7 +10,7 @@
 _LENGTH_BYTES = 8
 
 
-def fingerprint(request: CallerRequest) -> Fingerprint:
+def compute_fingerprint(request: CallerRequest) -> Fingerprint:
     """Return the fingerprint of a request: of all but its id and its times."""
     host = next(
         (text for name, text in request.headers if name == b'host'), b''
