Don't open connections again and again to an upstream that resets them

Cause: opens an idle connection that failed again at once, to find out about lost paths, without a limit. Change: at most one such connection to an upstream in 5 s.

--- a/src/sesametrack/programs/upstream_pools.py
+++ b/src/sesametrack/programs/upstream_pools.py
@@ -22,6 +22,8 @@
 _MIN_PROBE_DELAY: Seconds = 0.25
 _MAX_PROBE_DELAY: Seconds = 2
 _MAX_DOUBLINGS = 5
+# Least time between checks of an upstream whose idle connections fail.
+_PATH_CHECK_INTERVAL: Seconds = 5
 # With fewer upstreams in use, unreachable ones say little of this VM's paths.
 _MIN_UPSTREAMS = 4
 
@@ -36,6 +38,8 @@
     pool: UpstreamPool
     failures: int = 0
     is_probe_scheduled: bool = False
+    # When an idle connection that had failed was last opened again.
+    path_checked_at: Instant = float('-inf')
 
 
 class UpstreamPools(PoolOwner):
@@ -148,9 +152,17 @@
             self._on_ended(state.upstream)
 
     def on_path_lost(self, pool: UpstreamPool) -> None:
-        """Find out whether the upstream can still be reached."""
+        """Find out whether the upstream can still be reached.
+
+        An upstream with too many connections resets new ones, so it is not
+        asked again soon.
+        """
         state = self._state_by_id.get(pool.upstream_id)
-        if state is not None and state.pool is pool:
+        if state is None or state.pool is not pool:
+            return
+        now = self._now()
+        if now >= state.path_checked_at + _PATH_CHECK_INTERVAL:
+            state.path_checked_at = now
             self.check(pool.upstream_id)
 
     def unreachable_fraction(self) -> float:
