Log which ends of upstreams are unproven, and what is heard and cleared

The logs of a request that ends its searchers again and again showed only 'send-failed': not whether the end was proven, what the address did afterwards, by whose success a request was cleared, nor when another VM learned of it. New lines 'end-unproven' and 'suspect-heard', the service in 'request-cleared', and counters crashes.unproven and crashes.heard. No decision changes.

The stand-in searcher can leave an address that resets connections, is silent or refuses late, end without closing its connections, and come back with another id.

--- a/src/sesametrack/programs/crash_watch.py
+++ b/src/sesametrack/programs/crash_watch.py
@@ -4,7 +4,12 @@
 from dataclasses import dataclass
 from logging import getLogger
 
-from sesametrack.contracts.types import Fingerprint, Instant, Seconds
+from sesametrack.contracts.types import (
+    Fingerprint,
+    Instant,
+    Seconds,
+    ServiceId,
+)
 from sesametrack.routing.crash_ledger import (
     CrashLedger,
     CrashNews,
@@ -24,15 +29,20 @@
 _log = getLogger('crashes')
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ClosedSend:
-    """A send whose connection the upstream closed without a reply."""
+    """A send whose connection the upstream closed without a reply.
+
+    `address_check` is what the next connection to its address has shown,
+    empty if there was none.
+    """
 
     upstream: Upstream
     fingerprint: Fingerprint
     request_id: str
     sent_at: Instant
     closed_at: Instant
+    address_check: str = ''
 
 
 class CrashWatch:
@@ -50,14 +60,35 @@
 
     def record_closed(self, send: ClosedSend) -> None:
         """Keep a closed send until it is known whether the upstream ended."""
-        earliest = send.closed_at - _MAX_DETECTION_TIME
-        self._closed = [
-            one
-            for one in self._closed[-_MAX_CLOSED_SENDS:]
-            if one.closed_at > earliest
-        ]
+        self.expire(send.closed_at)
+        self._closed = self._closed[-_MAX_CLOSED_SENDS:]
         self._closed.append(send)
 
+    def expire(self, now: Instant) -> None:
+        """Drop the closed sends whose upstream was not found to have ended."""
+        earliest = now - _MAX_DETECTION_TIME
+        unproven = [one for one in self._closed if one.closed_at <= earliest]
+        if not unproven:
+            return
+        self._closed = [one for one in self._closed if one.closed_at > earliest]
+        for send in unproven:
+            self._metrics.count('crashes.unproven')
+            log_event(
+                _log,
+                'end-unproven',
+                upstream=send.upstream.id,
+                service=send.upstream.record.service,
+                request_id=send.request_id,
+                fingerprint=send.fingerprint,
+                address_check=send.address_check,
+            )
+
+    def record_connection(self, upstream: Upstream, outcome: str) -> None:
+        """Record what a new connection to an upstream's address has shown."""
+        for send in self._closed:
+            if send.upstream is upstream:
+                send.address_check = outcome
+
     def record_ended(self, upstream: Upstream, now: Instant) -> None:
         """Record that an upstream's process has ended."""
         under = [one for one in self._closed if one.upstream is upstream]
@@ -68,11 +99,18 @@
             if now <= send.closed_at + _MAX_DETECTION_TIME:
                 self._record_end(send, now)
 
-    def record_success(self, fingerprint: Fingerprint, now: Instant) -> None:
+    def record_success(
+        self, fingerprint: Fingerprint, service: ServiceId, now: Instant
+    ) -> None:
         """Clear a request that an upstream has run to its end."""
         if self.ledger.record_success(fingerprint, now):
             self._metrics.count('crashes.cleared')
-            log_event(_log, 'request-cleared', fingerprint=fingerprint)
+            log_event(
+                _log,
+                'request-cleared',
+                fingerprint=fingerprint,
+                service=service,
+            )
 
     def lift(self, fingerprints: Iterable[str], now: Instant) -> None:
         """End quarantines by the operator's order."""
@@ -82,9 +120,25 @@
 
     def merge(self, news: list[CrashNews], peer: str, now: Instant) -> None:
         """Add what another VM knows."""
+        for item in news:
+            if self.ledger.standing(item.fingerprint, now) is Standing.clear:
+                self._report_heard(item, peer)
         for fingerprint in self.ledger.merge(news, now):
             self._report_quarantine(fingerprint, peer, now)
 
+    def _report_heard(self, news: CrashNews, peer: str) -> None:
+        if not news.ends:
+            return
+        self._metrics.count('crashes.heard')
+        log_event(
+            _log,
+            'suspect-heard',
+            fingerprint=news.fingerprint,
+            peer=peer,
+            ends=len(news.ends),
+            age_s=min(end.ended_age for end in news.ends),
+        )
+
     def _record_end(self, send: ClosedSend, now: Instant) -> None:
         end = UpstreamEnd(
             (send.upstream.id, send.upstream.record.started_ms),
--- a/src/sesametrack/programs/exchange_driver.py
+++ b/src/sesametrack/programs/exchange_driver.py
@@ -133,6 +133,7 @@
             self,
             connection_limit,
             self._on_upstream_ended,
+            crash_watch.record_connection,
             metrics,
             loop,
             now,
@@ -316,7 +317,9 @@
         """Record that an upstream, or one of an aggregator's, has run it."""
         if reply.merged is None or reply.merged.digest_by_shard:
             fingerprint = in_flight.active_request.fingerprint
-            self._crash_watch.record_success(fingerprint, now)
+            self._crash_watch.record_success(
+                fingerprint, in_flight.service, now
+            )
 
     def _execute_actions(
         self, active_request: ActiveRequest, actions: list[Action], now: Instant
@@ -631,6 +634,7 @@
             # Abort each attempt once; the pool reports its end as a failure.
             in_flight.abort_at = float('inf')
             in_flight.pool.abort(attempt_id, in_flight.abort_reason)
+        self._crash_watch.expire(now)
         self._timers[0] = self._loop.call_later(
             _SWEEP_INTERVAL, self._abort_overdue_sends
         )
--- a/src/sesametrack/programs/upstream_pools.py
+++ b/src/sesametrack/programs/upstream_pools.py
@@ -50,6 +50,7 @@
         owner: PoolOwner,
         connection_limit: Callable[[ServiceId], int],
         on_ended: Callable[[Upstream], None],
+        on_connection: Callable[[Upstream, str], None],
         metrics: Metrics,
         loop: AbstractEventLoop,
         now: Callable[[], Instant],
@@ -58,10 +59,12 @@
 
         `owner` receives replies and failures, and `connection_limit` returns
         the limit of each pool of a service. `on_ended` is called with an
-        upstream that refuses connections.
+        upstream that refuses connections, `on_connection` with the outcome of
+        each attempt to connect.
         """
         self._owner = owner
         self._on_ended = on_ended
+        self._on_connection = on_connection
         self._connection_limit = connection_limit
         self._metrics = metrics
         self._loop = loop
@@ -194,6 +197,7 @@
         if state is None:
             return
         state.failures = 0
+        self._on_connection(state.upstream, 'accepted')
         if not state.upstream.health.is_unreachable:
             return
         log_event(_log, 'upstream-reachable', upstream=pool.upstream_id)
@@ -210,6 +214,7 @@
         state = self._state_by_id.get(pool.upstream_id)
         if state is None:
             return
+        self._on_connection(state.upstream, why)
         health = state.upstream.health
         if not health.is_unreachable:
             log_event(
--- a/standins/searcher.py
+++ b/standins/searcher.py
@@ -13,10 +13,13 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 from random import Random
+from socket import SO_LINGER, SOL_SOCKET
+from struct import pack
 
 from xxhash import xxh3_64_hexdigest
 
 _RECORD_BYTES = 16
+_READ_BYTES = 4096
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +56,15 @@
     # for none. The searcher starts again after `restart_s`.
     crash_marker: str = ''
     restart_s: float = 2
+    # What answers at the address of a searcher that has ended: 'refused' for
+    # nothing, 'reset' (connections are accepted and reset), 'silent' (accepted,
+    # and no reply is sent) or 'closing' (reset for `closing_s`, then refused).
+    leaves: str = 'refused'
+    closing_s: float = 1.3
+    # Whether open connections stay open and silent when the searcher ends.
+    is_dark: bool = False
+    # Whether the searcher starts again under another id.
+    has_new_id: bool = False
 
 
 @dataclass(slots=True)
@@ -80,6 +92,10 @@
     _server: Server | None = None
     _writers: set[StreamWriter] = field(default_factory=set)
     _restart_task: Task | None = None
+    # Connections of a searcher that has ended belong to an earlier one.
+    _generation: int = 0
+    # Listens in place of a searcher that has ended.
+    _successor: Server | None = None
 
     @property
     def entry(self) -> dict[str, object]:
@@ -104,7 +120,8 @@
         """Stop listening and reset all connections."""
         if self._restart_task is not None:
             self._restart_task.cancel()
-        self._stop_serving()
+        self._stop_listening()
+        self._reset_connections()
 
     def crash(self, path: str = '') -> None:
         """End like a killed process, and start again later."""
@@ -112,21 +129,57 @@
             return
         self.crashed_at.append(get_running_loop().time())
         self.crashed_under.append(path)
-        self._stop_serving()
+        self._generation += 1
+        self._stop_listening()
+        if not self.plan.is_dark:
+            self._reset_connections()
         self._restart_task = create_task(self._restart())
 
     async def _restart(self) -> None:
         if self.on_crash is not None:
             await self.on_crash(self)
-        await sleep(self.plan.restart_s)
+        await self._occupy_address()
+        self._stop_listening()
+        self._reset_connections()
         self.started_ms += 1000
+        if self.plan.has_new_id:
+            self.id = f'{self.id.partition("~")[0]}~{self.started_ms}'
         await self.start()
         if self.on_restart is not None:
             await self.on_restart(self)
 
-    def _stop_serving(self) -> None:
-        if self._server is not None:
-            self._server.close()
+    async def _occupy_address(self) -> None:
+        """Answer at the address as planned until the searcher starts again."""
+        plan = self.plan
+        if plan.leaves == 'refused':
+            await sleep(plan.restart_s)
+            return
+        serve = self._ignore if plan.leaves == 'silent' else _reset
+        self._successor = await start_server(serve, self.host, self.port)
+        if plan.leaves == 'closing':
+            await sleep(plan.closing_s)
+            self._successor.close()
+            await sleep(max(0, plan.restart_s - plan.closing_s))
+            return
+        await sleep(plan.restart_s)
+
+    async def _ignore(self, reader: StreamReader, writer: StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            chunk = await reader.read(_READ_BYTES)
+            while chunk:
+                chunk = await reader.read(_READ_BYTES)
+        except OSError:
+            writer.close()
+        finally:
+            self._writers.discard(writer)
+
+    def _stop_listening(self) -> None:
+        for server in (self._server, self._successor):
+            if server is not None:
+                server.close()
+
+    def _reset_connections(self) -> None:
         for writer in list(self._writers):
             writer.transport.abort()
 
@@ -144,9 +197,14 @@
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
         self.connections += 1
         self._writers.add(writer)
+        generation = self._generation
         try:
             while await self._serve_one(reader, writer):
                 await writer.drain()
+                if generation != self._generation:
+                    break
+            if self.plan.is_dark and generation != self._generation:
+                await self._ignore(reader, writer)
         except (OSError, EOFError):
             self._writers.discard(writer)
         finally:
@@ -156,9 +214,12 @@
     async def _serve_one(
         self, reader: StreamReader, writer: StreamWriter
     ) -> bool:
+        generation = self._generation
         request = replace(
             await _read_request(reader), received_at=get_running_loop().time()
         )
+        if generation != self._generation:
+            return False
         self.seen.append(request)
         echo = {'Request-Id': request.request_id}
         if request.headers.get('expect-instance') not in {None, self.id}:
@@ -172,6 +233,8 @@
         self.ran.append(request.request_id)
         if self.plan.delay_s:
             await sleep(self.plan.delay_s)
+        if generation != self._generation:
+            return False
         if self.plan.crash_marker and self.plan.crash_marker in request.path:
             self.crash(request.path)
             return False
@@ -224,6 +287,13 @@
         return fault in {'', 'error', 'extra'}
 
 
+async def _reset(reader: StreamReader, writer: StreamWriter) -> None:
+    # Without this the connection would end in good order.
+    linger = pack('ii', 1, 0)
+    writer.get_extra_info('socket').setsockopt(SOL_SOCKET, SO_LINGER, linger)
+    writer.transport.abort()
+
+
 async def _read_request(reader: StreamReader) -> SeenRequest:
     head = await reader.readuntil(b'\r\n\r\n')
     first, *lines = head.decode('latin-1').split('\r\n')
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -57,7 +57,7 @@
         upstream = Upstream(make_record('i-1', 's0'), 0)
         self.close(upstream, 1)
         self.watch.record_ended(upstream, 1.01)
-        self.watch.record_success(_REQUEST, 2)
+        self.watch.record_success(_REQUEST, 's0', 2)
         self.assertIs(Standing.clear, self.ledger.standing(_REQUEST, 2))
 
     def test_lifted(self) -> None:
--- a/tests/test_upstream_pools.py
+++ b/tests/test_upstream_pools.py
@@ -48,6 +48,7 @@
             PoolOwner(),
             lambda service: 2,
             lambda upstream: None,
+            lambda upstream, outcome: None,
             Metrics(None, ''),
             get_running_loop(),
             monotonic,
