Count the ends of a send and of its retry as two

Cause: ends count in a row if each one's send followed the end before it, and a retry is sent at the very instant at which that end is seen; the two compared as together. So a quarantine took four ends. With them told apart the third end quarantines, and what forgets everything can repeat the request three times, not five.

test_killed_vms and the new unit test failed before and pass now. A second kill of all VMs is not covered: quarantines live in memory only.

--- a/src/sesametrack/routing/crash_records.py
+++ b/src/sesametrack/routing/crash_records.py
@@ -139,7 +139,8 @@
         """
         chain: list[UpstreamEnd] = []
         for end in sorted(self.ends, key=lambda one: one.ended_at):
-            if not chain or end.sent_at > chain[-1].ended_at:
+            # A retry is sent at the instant at which the end is seen.
+            if not chain or end.sent_at >= chain[-1].ended_at:
                 chain.append(end)
         return chain
 
@@ -167,7 +168,7 @@
                 return is_news
         if len(self.ends) >= _MAX_ENDS:
             chain = self.consecutive_ends()
-            if end.sent_at <= chain[-1].ended_at:
+            if end.sent_at < chain[-1].ended_at:
                 return False
             self.ends = chain
         self.ends.append(end)
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -63,6 +63,13 @@
         self.assertIs(Standing.suspect, ledger.standing(_REQUEST, 2))
         self.assertTrue(ledger.may_retry(_REQUEST, 2))
 
+    # Guards against a quarantine that takes four ends, since a retry is sent
+    # at the very instant at which the end before it was seen.
+    def test_retry_at_the_instant_of_an_end(self) -> None:
+        """The ends of a send and of its retry are two ends in a row."""
+        ledger = make_ledger([make_end(1, 1, 2), make_end(2, 2, 3)])
+        self.assertFalse(ledger.may_retry(_REQUEST, 3))
+
     # Guards against a quarantine of popular requests, which are in flight
     # wherever upstreams end.
     def test_success_clears(self) -> None:
