Hold back the shards that a request ends, whatever the others answer

Cause: a success at any shard cleared the whole request. The class is evidence about a part that is taken for evidence about the whole.

Ends, clearances and successes now name their service. A success clears the ends of its own service only. A request that some services answer is held at those alone whose upstreams ended; a gather goes on without them, if its route allows, and says so in its missing shards; one request in four seconds over all VMs, with a permit, tries them. If upstreams of more than three services end, all are held, so that ends which a message can't name are no way around. A sub-gather's reply clears the shards that it names, the answer to a handed-over gather none.

--- a/src/sesametrack/programs/crash_watch.py
+++ b/src/sesametrack/programs/crash_watch.py
@@ -12,7 +12,6 @@
 )
 from sesametrack.routing.crash_ledger import CrashLedger
 from sesametrack.routing.crash_records import (
-    ALL_SERVICES,
     CrashNews,
     Standing,
     UpstreamEnd,
@@ -108,8 +107,8 @@
     def record_success(
         self, fingerprint: Fingerprint, service: ServiceId, now: Instant
     ) -> None:
-        """Clear a request that an upstream has run to its end."""
-        if self.ledger.record_success(fingerprint, ALL_SERVICES, now):
+        """Clear a request at a service that has run it to its end."""
+        if self.ledger.record_success(fingerprint, service, now):
             self._metrics.count('crashes.cleared')
             log_event(
                 _log,
@@ -164,7 +163,8 @@
             (send.upstream.id, send.upstream.record.started_ms),
             send.sent_at,
             send.ended_at,
-            is_proven=is_proven,
+            send.upstream.record.service,
+            is_proven,
         )
         is_quarantined = self.ledger.record_end(send.fingerprint, end, now)
         self._metrics.count('crashes.ends')
--- a/src/sesametrack/programs/exchange_driver.py
+++ b/src/sesametrack/programs/exchange_driver.py
@@ -1,7 +1,7 @@
 """Executes the actions of exchanges and reports replies and failures back."""
 
 from asyncio import AbstractEventLoop, TimerHandle
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import partial, singledispatchmethod
 from logging import getLogger
@@ -326,11 +326,15 @@
         self, in_flight: InFlightSend, reply: UpstreamReply, now: Instant
     ) -> None:
         """Record that an upstream, or one of an aggregator's, has run it."""
-        if reply.merged is None or reply.merged.digest_by_shard:
-            fingerprint = in_flight.active_request.fingerprint
-            self._crash_watch.record_success(
-                fingerprint, in_flight.service, now
-            )
+        fingerprint = in_flight.active_request.fingerprint
+        services: Iterable[ServiceId] = (in_flight.service,)
+        if reply.merged is not None:
+            services = reply.merged.digest_by_shard
+        elif in_flight.is_subgather and in_flight.active_request.route.shards:
+            # The answer to a handed-over gather doesn't name its shards.
+            services = ()
+        for service in services:
+            self._crash_watch.record_success(fingerprint, service, now)
 
     def _execute_actions(
         self, active_request: ActiveRequest, actions: list[Action], now: Instant
--- a/src/sesametrack/programs/forwarder.py
+++ b/src/sesametrack/programs/forwarder.py
@@ -50,7 +50,7 @@
 from sesametrack.routing.canaries import (
     QUARANTINED,
     is_trial,
-    refuse_suspect,
+    try_held_shards,
     try_suspect,
 )
 from sesametrack.routing.crash_ledger import CrashLedger
@@ -459,22 +459,16 @@
         self._metrics.count('requests.started')
         now = self._now()
         fingerprint = compute_fingerprint(request)
-        standing = self.ledger.standing(fingerprint, now)
-        if standing is Standing.quarantined:
-            left = self.ledger.quarantined_until(fingerprint) - now
-            refusal = Refusal(QUARANTINED, left)
-            self._refuse(
-                connection, request, refusal, encode_answer, fingerprint
-            )
-            return
-        if standing is Standing.suspect:
-            exchange = self._create_trial(request, route, fingerprint)
-        else:
+        exchange: Exchange | Refusal
+        if self.ledger.standing(fingerprint, now) is Standing.clear:
             exchange = self._create_exchange(request, route, fingerprint)
-        if exchange is None:
-            refusal = refuse_suspect()
+        elif route.shards:
+            exchange = self._guard_gather(request, route, fingerprint, now)
+        else:
+            exchange = self._guard_single(request, route, fingerprint, now)
+        if isinstance(exchange, Refusal):
             self._refuse(
-                connection, request, refusal, encode_answer, fingerprint
+                connection, request, exchange, encode_answer, fingerprint
             )
             return
         self._driver.start_request(
@@ -490,22 +484,75 @@
             )
         )
 
-    def _create_trial(
-        self, request: CallerRequest, route: Route, fingerprint: Fingerprint
-    ) -> Exchange | None:
-        """Return the trial of a suspect, None if it has to wait."""
-        if route.shards:
-            services = route.shards
-            admitted = self._create_exchange(request, route, fingerprint)
-        else:
-            services = (self.routes.choose_service(route),)
-            admitted = None
-        return try_suspect(
-            request, route, fingerprint, services, admitted, self._context
+    def _guard_gather(
+        self,
+        request: CallerRequest,
+        route: Route,
+        fingerprint: Fingerprint,
+        now: Instant,
+    ) -> Exchange | Refusal:
+        """Return what may be sent of a gather under which upstreams ended.
+
+        If some shards answer it, it goes on without the others.
+        """
+        standing = self.ledger.standing(fingerprint, now)
+        is_quarantined = standing is Standing.quarantined
+        exchange = self._create_exchange(request, route, fingerprint)
+        if self.ledger.is_whole(fingerprint, now):
+            if is_quarantined:
+                return self._refuse_quarantined(fingerprint, now)
+            trial = self._create_exchange(
+                request, route, fingerprint, is_trial=True
+            )
+            return try_suspect(
+                request, route, fingerprint, route.shards, trial, self._context
+            )
+        if is_quarantined or self.aggregators.groups(route.shards):
+            return exchange
+        return try_held_shards(
+            self._create_exchange(request, route, fingerprint, is_trial=True),
+            exchange,
+            request,
+            route,
+            fingerprint,
+            self.ledger.held_services(fingerprint, route.shards, now),
+            self._context,
+        )
+
+    def _guard_single(
+        self,
+        request: CallerRequest,
+        route: Route,
+        fingerprint: Fingerprint,
+        now: Instant,
+    ) -> Exchange | Refusal:
+        """Return what may be sent of a request under which upstreams ended."""
+        service = self.routes.choose_service(route)
+        standing = self.ledger.standing(fingerprint, now, service)
+        if standing is Standing.quarantined:
+            return self._refuse_quarantined(fingerprint, now)
+        if standing is Standing.suspect:
+            return try_suspect(
+                request, route, fingerprint, (service,), None, self._context
+            )
+        single = SingleExchange(
+            request, route, service, self._context, fingerprint
         )
+        return self._admit(single, request, route, (service,))
+
+    def _refuse_quarantined(
+        self, fingerprint: Fingerprint, now: Instant
+    ) -> Refusal:
+        left = self.ledger.quarantined_until(fingerprint) - now
+        return Refusal(QUARANTINED, left)
 
     def _create_exchange(
-        self, request: CallerRequest, route: Route, fingerprint: Fingerprint
+        self,
+        request: CallerRequest,
+        route: Route,
+        fingerprint: Fingerprint,
+        *,
+        is_trial: bool = False,
     ) -> Exchange:
         if not route.shards:
             service = self.routes.choose_service(route)
@@ -526,7 +573,12 @@
             )
         times = gather_deadlines(request, route)
         gather = GatherExchange(
-            request, route, self._context, times, fingerprint=fingerprint
+            request,
+            route,
+            self._context,
+            times,
+            fingerprint=fingerprint,
+            is_trial=is_trial,
         )
         return self._admit(gather, request, route, route.shards)
 
--- a/src/sesametrack/programs/peer_requests.py
+++ b/src/sesametrack/programs/peer_requests.py
@@ -163,7 +163,9 @@
             )
             return
         fingerprint = compute_fingerprint(subgather.request)
-        if not self._context.ledger.may_retry(fingerprint, self._now()):
+        ledger = self._context.ledger
+        is_whole = ledger.is_whole(fingerprint, self._now())
+        if is_whole and not ledger.may_retry(fingerprint, self._now()):
             connection.respond(
                 encode_missing_shards(subgather.route.shards, QUARANTINED),
                 is_last=False,
--- a/src/sesametrack/routing/admission.py
+++ b/src/sesametrack/routing/admission.py
@@ -46,10 +46,12 @@
         permits: RequestPermits,
         ready_at: Instant,
         reason: str = RATE_LIMITED,
+        fallback: Exchange | None = None,
     ) -> None:
         """Prepare to run the `admitted` exchange once it has permits.
 
-        Enough of them can't be had before `ready_at`. Refusals have the
+        Enough of them can't be had before `ready_at`. Without them the
+        `fallback` runs; if there is none, the request is refused with the
         `reason`.
         """
         self.deadline = admitted.deadline
@@ -59,12 +61,13 @@
         self._permits = permits
         self._ready_at = ready_at
         self._reason = reason
+        self._fallback = fallback
         self._is_admitted = False
 
     def start(self, now: Instant) -> list[Action]:
         """Request the permits, or refuse if they are known to come too late."""
         if self._ready_at > now + self._permits.max_wait:
-            return self._refuse(self._ready_at - now)
+            return self._do_without(self._ready_at - now)
         self.wake_at = now + PERMIT_TIMEOUT
         return [self._permits]
 
@@ -79,7 +82,7 @@
         if self.is_done or self._is_admitted:
             return []
         if wait is None:
-            return self._refuse(retry_after or RETRY_AFTER)
+            return self._do_without(retry_after or RETRY_AFTER)
         self._is_admitted = True
         self.wake_at = now + wait
         return self.on_timer(now)
@@ -103,7 +106,7 @@
         self.wake_at = NEVER
         if self._is_admitted:
             return [Admit()]
-        return self._refuse(RETRY_AFTER)
+        return self._do_without(RETRY_AFTER)
 
     def give_up(self, now: Instant) -> list[Action]:
         """Refuse the request, of which nothing has been sent."""
@@ -114,6 +117,14 @@
         """Return 0: a request without permits stays here."""
         return 0
 
+    def _do_without(self, retry_after: Seconds) -> list[Action]:
+        if self._fallback is None:
+            return self._refuse(retry_after)
+        self.admitted = self._fallback
+        self._is_admitted = True
+        self.wake_at = NEVER
+        return [Admit()]
+
     def _refuse(self, retry_after: Seconds) -> list[Action]:
         self.is_done = True
         self.wake_at = NEVER
--- a/src/sesametrack/routing/calls.py
+++ b/src/sesametrack/routing/calls.py
@@ -212,6 +212,10 @@
             return self._send('retry', now)
         return self._hedge(now)
 
+    def hold_back(self, reason: str) -> None:
+        """Finish without any send."""
+        self._finish(reason)
+
     def stop_crashing(self) -> None:
         """Finish without a retry unless a send is pending."""
         if not self.is_finished and not self.has_pending:
@@ -220,9 +224,10 @@
     def _hedge(self, now: Instant) -> list[Action]:
         if not self.route.is_repeatable or now >= self.send_until:
             return []
-        if self.context.ledger.standing(self.fingerprint, now) is not (
-            Standing.clear
-        ):
+        standing = self.context.ledger.standing(
+            self.fingerprint, now, self.service
+        )
+        if standing is not Standing.clear:
             return []
         upstream = self._choose_upstream(now)
         if upstream is None:
@@ -258,7 +263,10 @@
             if self.holds_retries:
                 self.wake_at = now + _HELD_RETRY_INTERVAL
                 return []
-            if not self.context.ledger.may_retry(self.fingerprint, now):
+            may_retry = self.context.ledger.may_retry(
+                self.fingerprint, now, self.service
+            )
+            if not may_retry:
                 self._finish(CRASHING)
                 return [self._make_event('retry-refused', CRASHING, now)]
         upstream = self._choose_upstream(now)
--- a/src/sesametrack/routing/canaries.py
+++ b/src/sesametrack/routing/canaries.py
@@ -53,15 +53,15 @@
     services: Iterable[ServiceId],
     admitted: Exchange | None,
     context: CallContext,
-) -> Exchange | None:
-    """Return the trial of a suspect, None if no service has spare replicas.
+) -> Exchange | Refusal:
+    """Return the trial of a suspect, or refuse it for want of spare replicas.
 
     A gather runs on one of its shards first; `admitted` is the whole gather,
     which follows a success. The trial of a single request is all of it.
     """
     service = _choose_service(services, context)
     if service is None:
-        return None
+        return Refusal(SUSPECT, _NO_REPLICA_DELAY)
     trial_route = replace(
         route,
         max_attempts=1,
@@ -77,6 +77,27 @@
     return AdmissionExchange(trial, permits, request.arrived_at, SUSPECT)
 
 
+def try_held_shards(
+    trial: Exchange,
+    rest: Exchange,
+    request: CallerRequest,
+    route: Route,
+    fingerprint: Fingerprint,
+    held: Iterable[ServiceId],
+    context: CallContext,
+) -> Exchange:
+    """Return a gather that includes held shards if the coordinator permits it.
+
+    `trial` is the gather over all shards, `rest` the one without those under
+    which upstreams have ended. Shards without spare replicas stay out.
+    """
+    if _choose_service(held, context) is None:
+        return rest
+    target = _make_permit_target(fingerprint, route, request.arrived_at)
+    permits = RequestPermits([[target]], 1, 0, is_admission=True)
+    return AdmissionExchange(trial, permits, request.arrived_at, SUSPECT, rest)
+
+
 def is_trial(request: RequestPermits) -> bool:
     """Return whether permits are requested for the trial of a suspect."""
     return any(
@@ -86,11 +107,6 @@
     )
 
 
-def refuse_suspect() -> Refusal:
-    """Return the refusal of a suspect that no service can try now."""
-    return Refusal(SUSPECT, _NO_REPLICA_DELAY)
-
-
 class GatherCanary:
     """Runs a gather's request on one shard, and all of it after a success."""
 
--- a/src/sesametrack/routing/crash_ledger.py
+++ b/src/sesametrack/routing/crash_ledger.py
@@ -159,6 +159,9 @@
         if record is None:
             return False
         record.answered_at = now
+        if not record.has_ends(service):
+            # Others are told of the services that were suspected only.
+            return False
         return self.clear(fingerprint, now, service)
 
     def record_alive(self, incarnation: Incarnation) -> None:
@@ -193,7 +196,7 @@
         fingerprints = [
             fingerprint
             for fingerprint, record in self._record_by_fingerprint.items()
-            if record.standing(now) is Standing.quarantined
+            if record.quarantined_at > NEVER
             or now < record.changed_at + _NEWS_TIME
         ]
         if not fingerprints:
--- a/src/sesametrack/routing/crash_records.py
+++ b/src/sesametrack/routing/crash_records.py
@@ -153,9 +153,11 @@
 
     def holds(self, service: ServiceId) -> bool:
         """Return whether what the record says applies to a service."""
-        return self.is_whole or any(
-            _concerns(end, service) for end in self.ends
-        )
+        return self.is_whole or self.has_ends(service)
+
+    def has_ends(self, service: ServiceId) -> bool:
+        """Return whether upstreams of a service have ended."""
+        return any(_concerns(end, service) for end in self.ends)
 
     def add(self, end: UpstreamEnd) -> bool:
         """Add an end; return whether it says anything new."""
--- a/src/sesametrack/routing/exchanges.py
+++ b/src/sesametrack/routing/exchanges.py
@@ -277,16 +277,21 @@
         is_retry: bool = False,
         tried_by_shard: Mapping[ServiceId, Iterable[UpstreamId]] = _NONE_TRIED,
         fingerprint: Fingerprint = '',
+        is_trial: bool = False,
     ) -> None:
         """Prepare a call to each shard of the route.
 
         `attempts` replaces the route's limit on the upstreams of each shard.
+        Shards whose upstreams have ended under the request are left out,
+        unless it `is_trial`.
         """
         self.deadline = exchange_deadline(request, route)
         self.is_done = False
         self.wake_at: Instant = NEVER
         self._route = route
         self._context = context
+        self._fingerprint = fingerprint
+        self._is_trial = is_trial
         self._answer_deadline = self.deadline - ANSWER_RESERVE
         self._cutoff = min(self._answer_deadline, deadlines.cutoff)
         self._attempt_limit = attempts or AttemptLimit(
@@ -323,9 +328,13 @@
         refused = self._refuse_unservable(now)
         if refused is not None:
             return self._deliver(refused)
+        self._hold_suspected_shards(now)
+        if not self._has_enough_shards(len(self._open_shards)):
+            return self._deliver(self._answer_failure(now))
         actions: list[Action] = []
         for call in self._calls:
-            actions.extend(self._record_progress(call, call.start(now)))
+            if not call.is_finished:
+                actions.extend(self._record_progress(call, call.start(now)))
         self._schedule(now)
         return self._answer_if_done(actions, now)
 
@@ -390,6 +399,17 @@
             call.on_attempts_granted(now)
         return self.on_timer(now)
 
+    def _hold_suspected_shards(self, now: Instant) -> None:
+        if self._is_trial:
+            return
+        ledger = self._context.ledger
+        held = ledger.held_services(self._fingerprint, self._open_shards, now)
+        reason = ledger.standing(self._fingerprint, now).value
+        for call in self._calls:
+            if call.service in held:
+                call.hold_back(reason)
+                self._record_progress(call, [])
+
     def _release_retries(self, now: Instant) -> None:
         """Send what was held back: no request that crashes upstreams succeeds.
 
--- a/src/sesametrack/routing/wide_gather.py
+++ b/src/sesametrack/routing/wide_gather.py
@@ -10,7 +10,7 @@
 )
 from sesametrack.routing.aggregators import Aggregators, ShardGroup
 from sesametrack.routing.calls import CRASHING, CallContext
-from sesametrack.routing.canaries import QUARANTINED
+from sesametrack.routing.canaries import QUARANTINED, SUSPECT
 from sesametrack.routing.desired_state import Route, TopKMerge
 from sesametrack.routing.directory import Upstream
 from sesametrack.routing.events import (
@@ -70,7 +70,7 @@
 _NO_ATTEMPTS_LEFT = 'no-attempts-left'
 # Missing shards for these reasons are not sent again.
 _FINAL_REASONS = frozenset(
-    (_AGGREGATOR_LOST, _NO_ATTEMPTS_LEFT, CRASHING, QUARANTINED)
+    (_AGGREGATOR_LOST, _NO_ATTEMPTS_LEFT, CRASHING, QUARANTINED, SUSPECT)
 )
 # An aggregator must stop this long after its cut-off: this VM then takes over.
 _DEADLINE_GRACE: Seconds = 0.02
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -148,6 +148,20 @@
         first.merge(make_ledger(ends).news(1, 5), 5)
         self.assertIs(Standing.clear, first.standing(_REQUEST, 5))
 
+    # Guards against messages that grow with the shards of a gather.
+    def test_other_services_are_not_told(self) -> None:
+        """Only clearances of services with ends are told."""
+        ledger = CrashLedger()
+        ledger.record_end(_REQUEST, UpstreamEnd(('i-1', 1), 1, 2, 's0'), 2)
+        for number in range(1, _MANY):
+            ledger.record_success(_REQUEST, f's{number}', 3)
+        news = ledger.news(1, 4)[0]
+        self.assertEqual({}, news.cleared_ages)
+        self.assertEqual(1, news.answered_age)
+        ledger.record_success(_REQUEST, 's0', 4)
+        news = ledger.news(1, 5)[0]
+        self.assertEqual({'s0': 1}, news.cleared_ages)
+
     # Guards against messages that grow with all requests that were ever in
     # flight at an upstream that ended.
     def test_old_suspects_are_not_told(self) -> None:
