Take overdue sends for evidence beside answers of other shards

Callers of a gather whose searchers of one shard end without a sign (their connections stay open) saw it sent 6 times too late in 30 s, on the code before this commit: an overdue send was no evidence if any other shard had answered, so that slow upstreams raise no suspicion.

Signs of life tell the two apart instead: an upstream that has sent a reply in the second half of the time that a send was waited for did not end as it began to run it.

--- a/src/sesametrack/programs/crash_watch.py
+++ b/src/sesametrack/programs/crash_watch.py
@@ -35,7 +35,7 @@
 class UnansweredSend:
     """A send that ended without a reply, though it may have run.
 
-    `is_overdue` if the connection stayed open, but nothing came on it.
+    `is_overdue` if the connection stayed open, but no reply came on it.
     `address_check` is what the next connection to the upstream's address has
     shown, empty if there was none.
     """
@@ -49,6 +49,16 @@
     address_check: str = ''
     is_settled: bool = False
 
+    @property
+    def silent_since(self) -> Instant:
+        """Return when the upstream had ended, if it ended under the request.
+
+        What ends an upstream does so as it runs: well before it is overdue.
+        """
+        if self.is_overdue:
+            return (self.sent_at + self.ended_at) / 2
+        return self.ended_at
+
 
 class CrashWatch:
     """Decides which sends without a reply were the end of the upstream.
@@ -150,10 +160,7 @@
         if is_alive:
             self._metrics.count('crashes.unproven')
             self._log_send('end-unproven', send)
-        elif not send.is_overdue or not self.ledger.was_answered(
-            send.fingerprint, send.sent_at
-        ):
-            # Of a request that others answer, a late reply says little.
+        else:
             self._record_end(send, now, is_proven=False)
 
     def _record_end(
--- a/src/sesametrack/programs/exchange_driver.py
+++ b/src/sesametrack/programs/exchange_driver.py
@@ -316,7 +316,7 @@
 
     def _has_survived(self, send: UnansweredSend) -> bool:
         return self.pools.has_survived(
-            send.upstream, send.ended_at, needs_reply=send.is_overdue
+            send.upstream, send.silent_since, needs_reply=send.is_overdue
         )
 
     def _on_upstream_ended(self, upstream: Upstream) -> None:
--- a/src/sesametrack/routing/crash_ledger.py
+++ b/src/sesametrack/routing/crash_ledger.py
@@ -130,10 +130,6 @@
             if record.standing(now) is standing and not record.is_expired(now)
         )
 
-    def was_answered(self, fingerprint: Fingerprint, since: Instant) -> bool:
-        """Return whether any service has answered a request since then."""
-        return self._answered_at.get(fingerprint, NEVER) > since
-
     def record_end(
         self, fingerprint: Fingerprint, end: UpstreamEnd, now: Instant
     ) -> bool:
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -64,6 +64,20 @@
         self.settle(4)
         self.assertIs(Standing.quarantined, self.ledger.standing(_REQUEST, 4))
 
+    # Guards against requests that are never stopped as they end the upstreams
+    # of one shard without a sign, while the other shards answer.
+    def test_overdue_beside_answers(self) -> None:
+        """Overdue sends of an answered request are evidence as well."""
+        for number in range(3):
+            upstream = Upstream(make_record(f'i-{number}', 's0'), 0)
+            self.close(upstream, number, is_overdue=True)
+            self.watch.record_success(_REQUEST, 's1', number)
+            self.settle(number + 0.5)
+        self.assertIs(
+            Standing.quarantined, self.ledger.standing(_REQUEST, 3, 's0')
+        )
+        self.assertIs(Standing.clear, self.ledger.standing(_REQUEST, 3, 's1'))
+
     # Guards against suspects by one upstream that fails for other reasons.
     def test_one_presumed_end(self) -> None:
         """One send without a reply makes no suspect; a proven end does."""
