--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -36,8 +36,8 @@
     duration_s: float = _DURATION_S
     # Only searchers of this shard end; empty for all.
     shard: str = ''
-    # All VMs are killed and started again in the middle.
-    restarts_all: bool = False
+    # How often all VMs are killed and started again.
+    kills: int = 0
 
 
 class CrashingRequestsTest(TestCase):
@@ -128,9 +128,13 @@
     # once.
     def test_killed_vms(self) -> None:
         """Check a request that comes on after all VMs were killed."""
-        self.play(
-            Play('127.20', duration_s=_LONG_DURATION_S, restarts_all=True)
-        )
+        self.play(Play('127.20', duration_s=_LONG_DURATION_S, kills=1))
+
+    # Guards against quarantines that are forgotten each time that all VMs are
+    # killed.
+    def test_vms_killed_twice(self) -> None:
+        """Check a request that comes on while all VMs are killed twice."""
+        self.play(Play('127.21', duration_s=2 * _LONG_DURATION_S, kills=2))
 
     def play(self, play: Play) -> None:
         """Play the request beside others, and check what it did."""
@@ -147,8 +151,8 @@
                     play.plan, crash_marker=marker, delay_s=0.01
                 )
             tasks = [create_task(repeat_request(fleet, play))]
-            if play.restarts_all:
-                tasks.append(create_task(restart_all(fleet)))
+            if play.kills:
+                tasks.append(create_task(restart_all(fleet, play.kills)))
             await gather(
                 *tasks,
                 *(run_caller(fleet, one, play) for one in range(_CALLER_COUNT)),
@@ -178,8 +182,8 @@
         """Check that ordinary requests are served once that has settled."""
         first = min(one.sent_at for one in fleet.answers)
         settled_at = first + play.duration_s / 2
-        if play.restarts_all:
-            settled_at = first + _RESTART_AFTER_S + _SETTLED_S
+        if play.kills:
+            settled_at = first + play.kills * _RESTART_AFTER_S + _SETTLED_S
         statuses = Counter(
             one.status
             for one in fleet.answers
@@ -190,11 +194,12 @@
         )
 
 
-async def restart_all(fleet: RouterFleet) -> None:
+async def restart_all(fleet: RouterFleet, kills: int) -> None:
     """Kill all VMs at once, and start new processes in their place."""
-    await sleep(_RESTART_AFTER_S)
-    await fleet.kill_routers()
-    await fleet.start_routers()
+    for _ in range(kills):
+        await sleep(_RESTART_AFTER_S)
+        await fleet.kill_routers()
+        await fleet.start_routers()
 
 
 async def repeat_request(fleet: RouterFleet, play: Play) -> None:
