--- a/bench/soak.py
+++ b/bench/soak.py
@@ -123,6 +123,8 @@
         self._host = host
         self.findings = Findings()
         self._rng = Random(seed)
+        # Leaves the other draws of a seed as they are.
+        self._ends_rng = Random(f'{seed}/ends')
         self._seconds = seconds
         self._store = ObjectStoreStandin(self._host, _STORE_PORT)
         self._searchers: list[SearcherStandin] = []
@@ -212,11 +214,16 @@
     async def _close_proxy(
         self, proxy: FaultProxy, searcher: SearcherStandin
     ) -> None:
-        await proxy.close()
+        if self._ends_rng.choice((True, False)):
+            # The address accepts connections and resets them.
+            proxy.reset()
+        else:
+            await proxy.close()
 
     async def _reopen_proxy(
         self, proxy: FaultProxy, searcher: SearcherStandin
     ) -> None:
+        await proxy.close()
         await proxy.start()
         await self._register(searcher, proxy)
 
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec import Struct, convert, to_builtins
 from testtools import TestCase
 
 from sesametrack.routing.crash_ledger import CrashLedger
@@ -20,6 +21,24 @@
 _MANY = 10
 
 
+class EarlierEnd(Struct, array_like=True):
+    """An end as versions before presumed ends tell it."""
+
+    upstream: str
+    started_ms: int
+    sent_age: float
+    ended_age: float
+
+
+class EarlierNews(Struct, array_like=True):
+    """What versions before presumed ends tell of a request."""
+
+    fingerprint: str
+    ends: list[EarlierEnd]
+    quarantined_age: float | None = None
+    cleared_age: float | None = None
+
+
 def make_end(number: int, sent_at: float, ended_at: float) -> UpstreamEnd:
     """Make the end of an upstream named 'i-number'."""
     return UpstreamEnd((f'i-{number}', 1), sent_at, ended_at)
@@ -148,6 +167,20 @@
         first.merge(make_ledger(ends).news(1, 5), 5)
         self.assertIs(Standing.clear, first.standing(_REQUEST, 5))
 
+    # Guards against news that VMs of an earlier version can't read, or whose
+    # clearances of one shard clear them all.
+    def test_earlier_versions(self) -> None:
+        """Both versions read what the other one tells of ends."""
+        ledger = make_ledger(make_sequence(2))
+        news = convert(
+            to_builtins(ledger.news(1, 4)), list[EarlierNews], strict=True
+        )
+        self.assertEqual(2, len(news[0].ends))
+        told = EarlierNews(_REQUEST, news[0].ends, None, 0)
+        merged = CrashLedger()
+        merged.merge(convert(to_builtins([told]), list[CrashNews]), 4)
+        self.assertFalse(merged.may_retry(_REQUEST, 4, 's0'))
+
     # Guards against messages that grow with the shards of a gather.
     def test_other_services_are_not_told(self) -> None:
         """Only clearances of services with ends are told."""
