Log each suspect that is heard of once; take 421 for no sign of life

A VM logged 'suspect-heard' for each message about a request with one presumed end, as its standing stays clear: five lines in a quarter of a second in one soak. It logs the first one now. A 421 comes from another process at the address, so it says nothing of the one that had it; and a message whose ends are all contradicted leaves no mark on the request.

--- a/src/sesametrack/programs/crash_watch.py
+++ b/src/sesametrack/programs/crash_watch.py
@@ -136,7 +136,7 @@
     def merge(self, news: list[CrashNews], peer: str, now: Instant) -> None:
         """Add what another VM knows."""
         for item in news:
-            if self.ledger.standing(item.fingerprint, now) is Standing.clear:
+            if not self.ledger.knows(item.fingerprint, now):
                 self._report_heard(item, peer)
         for fingerprint in self.ledger.merge(news, now):
             self._report_quarantine(fingerprint, peer, now)
--- a/src/sesametrack/programs/exchange_driver.py
+++ b/src/sesametrack/programs/exchange_driver.py
@@ -216,7 +216,8 @@
         if in_flight is None:
             return
         now = self._now()
-        self._crash_watch.record_alive(in_flight.upstream)
+        if reply.kind is not ReplyKind.misdirected:
+            self._crash_watch.record_alive(in_flight.upstream)
         health = in_flight.upstream.health
         if reply.load is not None:
             health.record_load(*reply.load, now)
--- a/src/sesametrack/routing/crash_ledger.py
+++ b/src/sesametrack/routing/crash_ledger.py
@@ -82,6 +82,11 @@
             return Standing.clear
         return record.standing(now)
 
+    def knows(self, fingerprint: Fingerprint, now: Instant) -> bool:
+        """Return whether upstreams are known to have ended under a request."""
+        record = self._find(fingerprint, now)
+        return record is not None and bool(record.ends)
+
     def is_whole(self, fingerprint: Fingerprint, now: Instant) -> bool:
         """Return whether a request is held at all services alike."""
         record = self._find(fingerprint, now)
@@ -230,10 +235,11 @@
         if record is None:
             record = self._create(item.fingerprint, latest)
             self._merge_successes(item, now)
-        record.is_broad = record.is_broad or item.is_broad
         evidence = [
             end for end in ends if self._is_evidence(item.fingerprint, end, now)
         ]
+        if evidence:
+            record.is_broad = record.is_broad or item.is_broad
         for end in evidence:
             if record.add(end):
                 record.changed_at = max(record.changed_at, end.ended_at)
