Answer VMs that start, even if this one has just started too

Cause: vm-0 had listed no other VM yet, so it told none; vm-1 asked it, as a VM does that starts, and vm-0 did not answer within five seconds of its own start. The rule was meant against useless answers; a VM that knows nothing sends none anyway.

test_answer_of_a_starting_vm failed before and passes now.

--- a/src/sesametrack/programs/hint_exchange.py
+++ b/src/sesametrack/programs/hint_exchange.py
@@ -168,7 +168,10 @@
             )
 
     def _answer_starting(self, address: Address, now: Instant) -> None:
-        """Tell a VM that has just started what it can't know yet."""
+        """Tell a VM that has just started what it can't know yet.
+
+        This VM may not have listed it, so it would not hear of it otherwise.
+        """
         crashes = self._ledger.news(_MAX_CRASHES, now)
-        if crashes and now >= self._started_at + _STARTING_TIME:
+        if crashes:
             self._link.send(address, self._make_message([], now, crashes))
