--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # are plain Python for the standard library, so they are only compiled.
 set -e
 cd "$(dirname "$0")"
-python3 -m compileall -q rig 6 7 8 9
+python3 -m compileall -q rig 6 7 8 9 10
--- a/review/rig/case.py
+++ b/review/rig/case.py
@@ -7,7 +7,7 @@
 from os import environ
 from pathlib import Path
 from random import Random
-from signal import SIGTERM
+from signal import SIGTERM, signal
 from socket import create_server
 from subprocess import DEVNULL, Popen
 from sys import exit as exit_process
@@ -182,6 +182,8 @@
     """Run a scenario, which returns whether the rule held; end with its code."""
     case = Case(folder)
     code = NOT_RUN
+    # The processes are ended in this case too.
+    signal(SIGTERM, lambda number, frame: exit_process(NOT_RUN))
     try:
         has_held = run(_limit(scenario(case)))
         code = HELD if has_held else BROKEN
--- a/review/rig/deployment.py
+++ b/review/rig/deployment.py
@@ -56,6 +56,7 @@
         routes: list[dict[str, Any]],
         tenants: list[dict[str, Any]] | None = None,
         max_conns: int = 25,
+        cold_per_s: float = 0,
     ) -> None:
         """Write a version of the desired state, as the operator does."""
         self.version += 2
@@ -71,7 +72,7 @@
                     'protocol': 'h1',
                     'tls': False,
                     'cold_s': 3.0,
-                    'cold_per_s': 0.0,
+                    'cold_per_s': cold_per_s,
                 }
                 for name in services
             ],
--- a/review/rig/searcher.py
+++ b/review/rig/searcher.py
@@ -73,6 +73,7 @@
         self._in_reach = Event()
         self._in_reach.set()
         self.born = 1_700_000_000_000
+        self.cold_left_ms = 0
 
     @property
     def entry(self) -> dict[str, object]:
@@ -84,7 +85,7 @@
             'config_version': 'v1',
             'slots': self.slots,
             'state': 'ready',
-            'cold_left_ms': 0,
+            'cold_left_ms': self.cold_left_ms,
             'sequence': 1,
             'born': self.born,
         }
